Add schemas, generators, settings and the platform interface

Cause: every later part shares these types, so they come first. Conclusion: base for the request path, the decisions and the exchange.

--- /dev/null
+++ b/anviltray/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP reverse proxy fleet for upstreams with gray failures."""
--- /dev/null
+++ b/anviltray/decisions/__init__.py
@@ -0,0 +1,6 @@
+"""Decisions of a node: pure policies that take events and the time and return actions."""
+
+from anviltray.decisions._registry import Registry, UnknownPolicy
+from anviltray.decisions._types import ExchangeOutcome, RoutableSet, RoutableUpstream
+
+__all__ = ["ExchangeOutcome", "Registry", "RoutableSet", "RoutableUpstream", "UnknownPolicy"]
--- /dev/null
+++ b/anviltray/messages/_fields.py
@@ -0,0 +1,61 @@
+"""Type checks that the generated decoders use."""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+_Item = TypeVar("_Item")
+
+
+class MessageError(ValueError):
+    """The bytes are no message of this schema."""
+
+
+def check_arity(name: str, data: Any, arity: int) -> list[Any]:
+    """Returns `data` if it is an array of `arity` items, else raises MessageError."""
+    if not isinstance(data, list) or len(data) != arity:
+        raise MessageError(f"{name} needs an array of {arity} fields")
+    return data
+
+
+def take_int(value: Any) -> int:
+    """Returns an integer; a bool is none."""
+    if type(value) is not int:
+        raise MessageError(f"expected an integer, found {type(value).__name__}")
+    return value
+
+
+def take_float(value: Any) -> float:
+    """Returns a finite or infinite float; integers are widened."""
+    if type(value) is int:
+        return float(value)
+    if type(value) is not float or value != value:
+        raise MessageError(f"expected a number, found {value!r}")
+    return value
+
+
+def take_str(value: Any) -> str:
+    """Returns a text."""
+    if type(value) is not str:
+        raise MessageError(f"expected a text, found {type(value).__name__}")
+    return value
+
+
+def take_bool(value: Any) -> bool:
+    """Returns a bool."""
+    if type(value) is not bool:
+        raise MessageError(f"expected a bool, found {type(value).__name__}")
+    return value
+
+
+def take_bytes(value: Any) -> bytes:
+    """Returns a byte string."""
+    if type(value) is not bytes:
+        raise MessageError(f"expected bytes, found {type(value).__name__}")
+    return value
+
+
+def take_list(value: Any, take_item: Callable[[Any], _Item]) -> tuple[_Item, ...]:
+    """Returns a tuple of decoded items."""
+    if not isinstance(value, list):
+        raise MessageError(f"expected an array, found {type(value).__name__}")
+    return tuple(take_item(item) for item in value)
--- /dev/null
+++ b/anviltray/platform/_interface.py
@@ -0,0 +1,83 @@
+"""What anviltray needs of the platform: an append-only log and a list of hosts."""
+
+from typing import NamedTuple, Protocol
+
+
+class PlatformError(Exception):
+    """Base of the platform errors."""
+
+
+class PlatformUnavailable(PlatformError):
+    """The call failed before it could take effect, or was a read."""
+
+
+class AppendUnknown(PlatformError):
+    """The append may or may not have taken effect."""
+
+
+class AppendRejected(PlatformError):
+    """The log refused the append, for example above its append rate; it did not take effect."""
+
+
+class OffsetTrimmed(PlatformError):
+    """The offset is older than the oldest record that the log still has."""
+
+
+class Record(NamedTuple):
+    """One record of a stream."""
+
+    offset: int  # Position in the stream from 0, consecutive.
+    payload: bytes  # Bytes as appended.
+
+
+class Batch(NamedTuple):
+    """Records of one read."""
+
+    records: tuple[Record, ...]  # Consecutive records from the requested offset.
+    oldest_offset: int  # Oldest offset that the log still has.
+    next_offset: int  # Offset that the next append gets.
+
+
+class Offsets(NamedTuple):
+    """Range of a stream."""
+
+    oldest: int  # Oldest offset that the log still has.
+    next: int  # Offset that the next append gets.
+
+
+class HostEntry(NamedTuple):
+    """One entry of the host list, which lags behind the truth."""
+
+    address: str  # IP:port; the caller address of a node or the address of an upstream.
+    role: str  # "node" or "upstream".
+    state: str  # "live" or "leaving".
+    region: str  # Region of the host.
+    zone: str  # Availability zone of the host.
+    peer_address: str  # IP:port for other nodes; empty for an upstream.
+    node: str  # Node name; empty for an upstream.
+
+
+class Platform(Protocol):
+    """The platform's services; each adapter is one module."""
+
+    async def append(self, stream: str, payload: bytes) -> int:
+        """Appends a record and returns its offset.
+
+        Raises AppendRejected or PlatformUnavailable if it did not take effect, AppendUnknown if it
+        may have.
+        """
+
+    async def read(self, stream: str, offset: int, limit: int) -> Batch:
+        """Returns up to `limit` records from `offset`.
+
+        Raises OffsetTrimmed if `offset` is below the oldest one, and PlatformUnavailable.
+        """
+
+    async def offsets(self, stream: str) -> Offsets:
+        """Returns the range of a stream; raises PlatformUnavailable."""
+
+    async def hosts(self) -> tuple[HostEntry, ...]:
+        """Returns the host list; raises PlatformUnavailable."""
+
+    async def close(self) -> None:
+        """Closes the connections of the adapter."""
--- /dev/null
+++ b/anviltray/schema/_validation.py
@@ -0,0 +1,74 @@
+"""Validation of YAML documents against the JSON Schemas of this package."""
+
+import ipaddress
+from functools import cache
+from importlib import resources
+from pathlib import Path
+from typing import Any
+
+import jsonschema
+import yaml
+
+_FORMATS = jsonschema.FormatChecker(formats=())
+
+
+class DocumentError(ValueError):
+    """A document does not match its schema; the message is one line for an operator."""
+
+
+@_FORMATS.checks("ip-port", raises=ValueError)
+def _is_ip_port(value: object) -> bool:
+    if not isinstance(value, str):
+        return True
+    host, separator, port = value.rpartition(":")
+    ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    return bool(separator) and port.isascii() and port.isdigit() and 0 < int(port) < 65536
+
+
+@cache
+def _validator(schema_name: str) -> jsonschema.Draft202012Validator:
+    text = resources.files("anviltray.schema").joinpath(f"{schema_name}.yaml").read_text("utf-8")
+    return jsonschema.Draft202012Validator(yaml.safe_load(text), format_checker=_FORMATS)
+
+
+def load_document(path: Path, schema_name: str) -> dict[str, Any]:
+    """Reads the YAML file `path` and validates it against `schema_name`.
+
+    Raises DocumentError with one line that names the file, the key, what was found and what is
+    allowed.
+    """
+    try:
+        data = yaml.safe_load(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise DocumentError(f"{path}: cannot be read: {error.strerror}") from error
+    except (yaml.YAMLError, UnicodeDecodeError) as error:
+        message = " ".join(str(error).split())
+        raise DocumentError(f"{path}: is not YAML: {message}") from error
+    return validate_document(data, schema_name, str(path))
+
+
+def validate_document(data: Any, schema_name: str, source: str) -> dict[str, Any]:
+    """Returns `data` if it matches `schema_name`, else raises DocumentError naming `source`."""
+    errors = sorted(_validator(schema_name).iter_errors(data), key=lambda error: error.json_path)
+    if errors:
+        raise DocumentError(f"{source}: {_describe(errors[0])}")
+    accepted: dict[str, Any] = data
+    return accepted
+
+
+def _describe(error: jsonschema.ValidationError) -> str:
+    key = error.json_path.removeprefix("$").lstrip(".") or "document"
+    instance: Any = error.instance
+    rule_value: Any = error.validator_value
+    if error.validator == "additionalProperties":
+        schema: Any = error.schema
+        allowed = sorted(schema["properties"])
+        unknown = sorted(set(instance) - set(allowed))
+        return f"{key}: found unknown key {unknown[0]!r}, allowed are {', '.join(allowed)}"
+    if error.validator == "required":
+        missing = [name for name in rule_value if name not in instance]
+        return f"{key}: found no key {missing[0]!r}, which is required"
+    if error.validator == "format":
+        return f"{key}: found {instance!r}, allowed is an IP address and port like 10.0.0.1:80"
+    rule = f"{error.validator} {rule_value!r}"
+    return f"{key}: found {instance!r}, allowed is {rule}"
--- /dev/null
+++ b/anviltray_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the targets and their baselines."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for platform, upstreams and callers, for tests and demonstrations."""
