Add operator language, telemetry and burn report

Cause: operators need queries and commands with errors that point at the column, and a report on error budgets that survives the replacement of hosts. Change: Lark grammar with typed statements and where clauses; statsd counters summed in memory and Logbook output; burn counters, collector, report over four windows with visible gaps, picture.

--- a/anviltray/messages/_generated.py
+++ b/anviltray/messages/_generated.py
@@ -410,6 +410,27 @@
     )
 
 
+class BurnSummary(NamedTuple):
+    """Record of the burn stream of the log with the requests of one zone in one slot of time."""
+
+    zone: str  # Availability zone.
+    slot: int  # Start of the slot in Unix time divided by its length.
+    slot_s: int  # Length of the slot in seconds.
+    nodes: int  # Nodes of the zone that reported in the slot.
+    services: tuple[ServiceCounters, ...]  # Sums over the nodes of the zone.
+
+
+def _decode_burn_summary(data: Any) -> BurnSummary:
+    items = check_arity("BurnSummary", data, 5)
+    return BurnSummary(
+        zone=take_str(items[0]),
+        slot=take_int(items[1]),
+        slot_s=take_int(items[2]),
+        nodes=take_int(items[3]),
+        services=take_list(items[4], _decode_service_counters),
+    )
+
+
 Message = (
     Hello
     | Proof
@@ -427,6 +448,7 @@
     | Query
     | QueryAnswer
     | Counters
+    | BurnSummary
 )
 
 
@@ -447,6 +469,7 @@
     Query: 14,
     QueryAnswer: 15,
     Counters: 16,
+    BurnSummary: 64,
 }
 
 
@@ -467,6 +490,7 @@
     14: _decode_query,
     15: _decode_query_answer,
     16: _decode_counters,
+    64: _decode_burn_summary,
 }
 
 
@@ -487,6 +511,7 @@
     Query: "operator",
     QueryAnswer: "operator",
     Counters: "load",
+    BurnSummary: "log",
 }
 
 
@@ -518,4 +543,5 @@
     "Query",
     "QueryAnswer",
     "Counters",
+    "BurnSummary",
 ]
--- /dev/null
+++ b/anviltray/reports/__init__.py
@@ -0,0 +1,19 @@
+"""Reports on service-level objectives."""
+
+from anviltray.reports._burn import WINDOWS_S, BurnGap, BurnReport, BurnWindow, burn_report
+from anviltray.reports._counters import SLOT_S, BurnCollector, BurnCounters
+from anviltray.reports._picture import PictureUnavailableError, burn_series, write_burn_picture
+
+__all__ = [
+    "SLOT_S",
+    "WINDOWS_S",
+    "BurnCollector",
+    "BurnCounters",
+    "BurnGap",
+    "BurnReport",
+    "BurnWindow",
+    "PictureUnavailableError",
+    "burn_report",
+    "burn_series",
+    "write_burn_picture",
+]
--- /dev/null
+++ b/anviltray/telemetry/_metrics.py
@@ -0,0 +1,71 @@
+"""Counters and gauges that are summed in memory and sent to statsd by a task."""
+
+import asyncio
+from collections import Counter
+from types import MappingProxyType
+from typing import Protocol
+
+from statsd import StatsClient
+
+_SEND_INTERVAL_S = 1.0
+
+
+class _Pipeline(Protocol):
+    def incr(self, stat: str, count: int) -> None: ...
+    def gauge(self, stat: str, value: float) -> None: ...
+    def send(self) -> None: ...
+
+
+class Metrics:
+    """Counters and gauges of one node.
+
+    An increment is a dictionary update, since the request path makes several for each request; a
+    task sends the differences once a second. Names are dotted, for example `requests.served`.
+    """
+
+    def __init__(self, address: str = "", prefix: str = "anviltray") -> None:
+        self._counts: Counter[str] = Counter()
+        self._sent: Counter[str] = Counter()
+        self._gauges: dict[str, float] = {}
+        self._client: StatsClient | None = None
+        if address:
+            host, _, port = address.rpartition(":")
+            bare = host.removeprefix("[").removesuffix("]")
+            self._client = StatsClient(bare, int(port), prefix=prefix, ipv6=":" in bare)
+
+    @property
+    def counts(self) -> MappingProxyType[str, int]:
+        """All counters since the process started."""
+        return MappingProxyType(self._counts)
+
+    @property
+    def gauges(self) -> MappingProxyType[str, float]:
+        """The last value of each gauge."""
+        return MappingProxyType(self._gauges)
+
+    def increment(self, name: str, count: int = 1) -> None:
+        """Adds `count` to a counter."""
+        self._counts[name] += count
+
+    def gauge(self, name: str, value: float) -> None:
+        """Sets a gauge."""
+        self._gauges[name] = value
+
+    def flush(self) -> None:
+        """Sends what changed since the last call; a lost datagram loses only that interval."""
+        if self._client is None:
+            return
+        pipeline: _Pipeline = self._client.pipeline()
+        for name, count in self._counts.items():
+            if count != self._sent[name]:
+                pipeline.incr(name, count - self._sent[name])
+        for name, value in self._gauges.items():
+            pipeline.gauge(name, value)
+        pipeline.send()
+        self._sent = Counter(self._counts)
+
+    async def run(self) -> None:
+        """Sends once a second until cancelled."""
+        while True:
+            await asyncio.sleep(_SEND_INTERVAL_S)
+            self.flush()
