Add the operators' command-line tool

Cause: operators drive the fleet by declarations and statements and need exit codes that tell a rejected command from one with an unknown outcome.

--- /dev/null
+++ b/anviltray/declarations/_documents.py
@@ -0,0 +1,66 @@
+"""Declarations as plain documents, and the difference between two sets of services."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+from anviltray.declarations._generated import Service
+
+
+class Change(NamedTuple):
+    """One difference between the services in force and the declared ones."""
+
+    service: str  # Service name.
+    item: str  # Changed field, or the address, route or rule that differs; empty for the service.
+    in_force: str  # Value in force; empty if there is none.
+    declared: str  # Declared value; empty if there is none.
+
+
+def as_document(value: Any) -> Any:
+    """Returns nested named tuples as mappings and lists that JSON and YAML can write."""
+    if isinstance(value, tuple) and hasattr(value, "_asdict"):
+        return {name: as_document(item) for name, item in value._asdict().items()}
+    if isinstance(value, tuple | list):
+        return [as_document(item) for item in value]
+    return value
+
+
+def difference(in_force: Mapping[str, Service], declared: Iterable[Service]) -> tuple[Change, ...]:
+    """Returns the changes that lead from `in_force` to exactly the `declared` services."""
+    target = {service.name: service for service in declared}
+    changes: list[Change] = []
+    for name in sorted(in_force.keys() | target.keys()):
+        old, new = in_force.get(name), target.get(name)
+        if old is None:
+            changes.append(Change(name, "", "", "new service"))
+        elif new is None:
+            changes.append(Change(name, "", "service", ""))
+        else:
+            changes.extend(_service_changes(old, new))
+    return tuple(changes)
+
+
+def _service_changes(old: Service, new: Service) -> Iterable[Change]:
+    before, after = _flatten(old), _flatten(new)
+    for item in sorted(before.keys() | after.keys()):
+        found, wanted = before.get(item, ""), after.get(item, "")
+        if found != wanted:
+            yield Change(new.name, item, found, wanted)
+
+
+def _flatten(service: Service) -> dict[str, str]:
+    items: dict[str, str] = {}
+    for name, value in service._asdict().items():
+        if not isinstance(value, tuple):
+            items[name] = str(value)
+    for upstream in service.upstreams:
+        items[f"upstream {upstream.address}"] = _words(upstream._replace(address=""))
+    for route in service.routes:
+        items[f"route {route.host}{route.prefix}"] = "present"
+    for rule in service.retry_rules:
+        key = f"retry rule {','.join(rule.methods)} {rule.prefix}"
+        items[key] = f"attempts={rule.attempts} hedge={rule.hedge}"
+    return items
+
+
+def _words(value: Any) -> str:
+    return " ".join(f"{name}={item}" for name, item in value._asdict().items() if item != "")
--- /dev/null
+++ b/anviltray_cli/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m anviltray_cli`."""
+
+from anviltray_cli import main
+
+if __name__ == "__main__":
+    main()
