--- /dev/null
+++ b/anviltray/operators/__init__.py
@@ -0,0 +1,15 @@
+"""Operator endpoint of a node: queries, commands, declarations and burn records."""
+
+from anviltray.operators._application import create_operator_application
+from anviltray.operators._context import FleetAnswer, InForce, NodeView, OperatorContext, Row
+from anviltray.operators._queries import answer_query
+
+__all__ = [
+    "FleetAnswer",
+    "InForce",
+    "NodeView",
+    "OperatorContext",
+    "Row",
+    "answer_query",
+    "create_operator_application",
+]
