Add the attempt table and the state of one request's attempts

Cause: unrepeatable requests need at most one run per identifier and a truthful not-run. Ruled out: remembering each refused identifier (unbounded in an overload) and evicting entries of a full table (a duplicate would run again). Instead a refusal for lack of room closes all epochs up to the current one for new identifiers, which costs no memory; room returns only at an epoch's end anyway. An identifier of a future epoch is remembered as refused within a bound, beyond it the answer is unknown, so that a delayed copy never starts after a not-run. Change: AttemptTable, identifiers (lower-case hexadecimal numbers, suffix of up to 64 characters), RequestAttempts with the transitions that prove not-run. A suffix that begins with "-" is reserved for identifiers that the table assigns. Conclusion: named tuples without fields compare equal across types, so results are told apart by type; the tests compare types too.

--- /dev/null
+++ b/anviltray/decisions/attempts/_table.py
@@ -0,0 +1,214 @@
+"""Memory of the unrepeatable requests of one incarnation of a node."""
+
+from collections import deque
+
+from anviltray.decisions.attempts._identifiers import (
+    ASSIGNED_MARK,
+    Identifier,
+    format_prefix,
+    parse_identifier,
+)
+from anviltray.decisions.attempts._types import (
+    Arrival,
+    Expired,
+    Forward,
+    InProgress,
+    Known,
+    Outcome,
+    Refuse,
+    RefuseReason,
+    Replay,
+    Start,
+    StoredResponse,
+)
+from anviltray.settings import AttemptSettings
+
+# Identifiers of future epochs that are remembered as refused. Above it they are answered as
+# unknown, which is always true, so a flood of them costs no memory and harms nobody else.
+_INVENTED_LIMIT = 1000
+
+
+class NotInFlight(LookupError):
+    """The identifier has no running request whose outcome could be recorded."""
+
+
+class _Entry:
+    """One identifier that was started."""
+
+    __slots__ = ("epoch", "finished_s", "outcome", "response", "started_s")
+
+    def __init__(self, epoch: int, started_s: float) -> None:
+        self.epoch = epoch
+        self.started_s = started_s
+        self.finished_s: float | None = None
+        self.outcome: Outcome | None = None
+        self.response: StoredResponse | None = None
+
+
+class AttemptTable:
+    """Starts each identifier at most once and remembers its outcome.
+
+    An identifier is kept while its epoch may start requests, so a missing one is either new or too
+    old. A refusal as not run is final: a delayed copy of the same request must not start after the
+    caller was told that it did not run.
+    """
+
+    def __init__(self, node: str, incarnation: int, settings: AttemptSettings) -> None:
+        self._node = node
+        self._incarnation = incarnation
+        self._settings = settings
+        self._epoch = 0
+        self._entries: dict[str, _Entry] = {}
+        self._by_epoch: dict[int, list[str]] = {}
+        self._replayable: deque[str] = deque()
+        self._replay_bytes = 0
+        self._assigned = 0
+        # After a refusal for lack of room, no new identifier of this or an earlier epoch starts:
+        # the refused ones cannot be remembered, and room returns only when an epoch ends.
+        self._closed_through = -1
+        self._invented: set[str] = set()
+
+    def prefix(self, now_s: float) -> str:
+        """Returns the prefix for identifiers that are issued now."""
+        self._advance(now_s)
+        return format_prefix(self._node, self._incarnation, self._epoch)
+
+    def arrive(self, now_s: float, request_id: str | None) -> Arrival:
+        """Decides what happens to an unrepeatable request that has just arrived."""
+        self._advance(now_s)
+        if request_id is None:
+            return self._assign(now_s)
+        parts = parse_identifier(request_id)
+        if parts is None:
+            return Refuse(RefuseReason.MALFORMED)
+        if parts.node != self._node:
+            return Forward(parts.node, parts.incarnation)
+        if parts.incarnation != self._incarnation:
+            return Expired()
+        entry = self._entries.get(request_id)
+        if entry is not None:
+            return _recall(entry)
+        return self._first_arrival(now_s, request_id, parts)
+
+    def finish(
+        self, now_s: float, request_id: str, outcome: Outcome, response: StoredResponse | None
+    ) -> None:
+        """Records the outcome of a started request.
+
+        An unknown outcome may be replaced once more is known, for example by a late confirmation
+        of a cancellation. Raises NotInFlight for any other identifier without a running request.
+        """
+        self._advance(now_s)
+        entry = self._entries.get(request_id)
+        if entry is None or entry.outcome not in (None, "unknown"):
+            raise NotInFlight(request_id)
+        entry.outcome = outcome
+        entry.finished_s = now_s
+        if entry.epoch <= self._epoch - self._settings.epochs_kept:
+            del self._entries[request_id]
+        elif response is not None and outcome == "done":
+            self._store(request_id, entry, response)
+
+    def row(self, request_id: str) -> dict[str, object] | None:
+        """Returns what the table knows of an identifier for a query, or None."""
+        entry = self._entries.get(request_id)
+        if entry is None:
+            return None
+        return {
+            "request": request_id,
+            "epoch": entry.epoch,
+            "state": "running" if entry.outcome is None else entry.outcome,
+            "started_s": entry.started_s,
+            "finished_s": entry.finished_s,
+            "replayable": entry.response is not None,
+        }
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def _advance(self, now_s: float) -> None:
+        epoch = int(now_s // self._settings.epoch_s)
+        if epoch <= self._epoch:
+            return
+        self._epoch = epoch
+        last_expired = epoch - self._settings.epochs_kept
+        for old in [number for number in self._by_epoch if number <= last_expired]:
+            for request_id in self._by_epoch.pop(old):
+                # A running request stays until it ends, so that a duplicate still finds it.
+                if self._entries[request_id].outcome is not None:
+                    self._drop_response(self._entries.pop(request_id))
+        if self._invented:
+            self._forget_invented(last_expired)
+
+    def _assign(self, now_s: float) -> Arrival:
+        if len(self._entries) >= self._settings.entry_limit:
+            return Refuse(RefuseReason.FULL)
+        self._assigned += 1
+        return self._start(now_s, f"{self.prefix(now_s)}{ASSIGNED_MARK}{self._assigned:x}")
+
+    def _first_arrival(self, now_s: float, request_id: str, parts: Identifier) -> Arrival:
+        if parts.epoch > self._epoch:
+            return self._refuse_invented(request_id)
+        expired = parts.epoch <= self._epoch - self._settings.epochs_kept
+        if expired or parts.suffix.startswith(ASSIGNED_MARK):
+            return Expired()
+        if request_id in self._invented:
+            return Refuse(RefuseReason.INVENTED)
+        if parts.epoch <= self._closed_through:
+            return Refuse(RefuseReason.FULL)
+        if len(self._entries) >= self._settings.entry_limit:
+            self._closed_through = self._epoch
+            return Refuse(RefuseReason.FULL)
+        return self._start(now_s, request_id, parts.epoch)
+
+    def _start(self, now_s: float, request_id: str, epoch: int | None = None) -> Start:
+        number = self._epoch if epoch is None else epoch
+        self._entries[request_id] = _Entry(number, now_s)
+        self._by_epoch.setdefault(number, []).append(request_id)
+        return Start(request_id)
+
+    def _refuse_invented(self, request_id: str) -> Arrival:
+        if request_id not in self._invented:
+            if len(self._invented) >= _INVENTED_LIMIT:
+                return Expired()
+            self._invented.add(request_id)
+        return Refuse(RefuseReason.INVENTED)
+
+    def _forget_invented(self, last_expired: int) -> None:
+        kept = set()
+        for request_id in self._invented:
+            parts = parse_identifier(request_id)
+            if parts is not None and parts.epoch > last_expired:
+                kept.add(request_id)
+        self._invented = kept
+
+    def _store(self, request_id: str, entry: _Entry, response: StoredResponse) -> None:
+        size = _size_bytes(response)
+        limit = min(self._settings.replay_limit_bytes, self._settings.replay_total_bytes)
+        if size > limit:
+            return
+        while self._replay_bytes + size > self._settings.replay_total_bytes:
+            oldest = self._entries.get(self._replayable.popleft())
+            if oldest is not None:
+                self._drop_response(oldest)
+        entry.response = response
+        self._replay_bytes += size
+        self._replayable.append(request_id)
+
+    def _drop_response(self, entry: _Entry) -> None:
+        if entry.response is not None:
+            self._replay_bytes -= _size_bytes(entry.response)
+            entry.response = None
+
+
+def _recall(entry: _Entry) -> Arrival:
+    if entry.outcome is None:
+        return InProgress()
+    if entry.response is not None:
+        return Replay(entry.response)
+    return Known(entry.outcome)
+
+
+def _size_bytes(response: StoredResponse) -> int:
+    headers = sum(len(name) + len(value) for name, value in response.headers)
+    return headers + len(response.body)
--- /dev/null
+++ b/anviltray/decisions/attempts/_types.py
@@ -0,0 +1,68 @@
+"""Results of an arrival at the attempt table.
+
+Tell results apart with `isinstance` or `match`: named tuples of two types with equal fields
+compare equal.
+"""
+
+from enum import StrEnum
+from typing import Literal, NamedTuple
+
+Outcome = Literal["done", "not-run", "unknown"]
+
+
+class StoredResponse(NamedTuple):
+    """A response that is kept for duplicates."""
+
+    status: int  # HTTP status.
+    headers: tuple[tuple[str, str], ...]  # Header fields in order.
+    body: bytes  # Whole body.
+
+
+class RefuseReason(StrEnum):
+    """Why a request was refused as not run."""
+
+    MALFORMED = "malformed"  # Not an identifier; the caller made it up (400).
+    INVENTED = "invented"  # Names an epoch that was never issued; the caller made it up (400).
+    FULL = "full"  # No memory for another identifier until an epoch ends (503).
+
+
+class Start(NamedTuple):
+    """The request may run now; `finish` must be called once with its outcome."""
+
+    request_id: str  # Identifier from the caller or assigned by the table.
+
+
+class InProgress(NamedTuple):
+    """A duplicate of a request that is running now."""
+
+
+class Replay(NamedTuple):
+    """A duplicate of a request whose response is stored."""
+
+    response: StoredResponse  # Response to the first arrival.
+
+
+class Known(NamedTuple):
+    """A duplicate of a finished request without a stored response."""
+
+    outcome: Outcome  # Outcome of the first arrival.
+
+
+class Forward(NamedTuple):
+    """Only another node may start the request; if it is gone, the outcome is unknown."""
+
+    node: str  # Node that issued the identifier.
+    incarnation: int  # Incarnation of that node.
+
+
+class Refuse(NamedTuple):
+    """The request was not run and never will be under this identifier."""
+
+    reason: RefuseReason  # Why.
+
+
+class Expired(NamedTuple):
+    """Too old to be remembered, or issued by an earlier incarnation: the outcome is unknown."""
+
+
+Arrival = Start | InProgress | Replay | Known | Forward | Refuse | Expired
--- /dev/null
+++ b/anviltray/decisions/attempts/tests/test_machine.py
@@ -0,0 +1,71 @@
+"""Guards against a second attempt without proof and against a not-run without proof."""
+
+import pytest
+
+from anviltray.decisions.attempts import AttemptEvent, RequestAttempts, WrongAttemptEvent
+from anviltray.declarations import RetryRule
+
+RULE = RetryRule(("GET",), "/", attempts=3, hedge=False)
+HEDGED = RULE._replace(hedge=True)
+
+
+def attempts(events, rule=None, elsewhere=False):
+    request = RequestAttempts(rule, elsewhere)
+    for line in events.split("|"):
+        number = request.start()
+        for event in line.split():
+            request.record(number, AttemptEvent(event))
+    return request
+
+
+@pytest.mark.parametrize(
+    ("events", "outcome", "unrepeatable", "repeatable", "hedged", "elsewhere"),
+    [
+        ("", "unknown", False, False, True, False),
+        ("failed", "not-run", True, True, True, True),
+        ("cancelled", "not-run", True, True, True, True),
+        ("write", "unknown", False, False, True, False),
+        ("write failed", "unknown", False, True, True, False),
+        ("write refused", "not-run", True, True, True, True),
+        ("write refused failed", "not-run", True, True, True, True),
+        ("write cancelled", "not-run", True, True, True, True),
+        ("write failed cancelled", "not-run", True, True, True, True),
+        ("write response", "unknown", False, False, True, False),
+        ("write response failed", "unknown", False, True, True, False),
+        ("write response failed cancelled", "unknown", False, True, True, False),
+        ("write response cancelled", "unknown", False, False, True, False),
+        ("write response error", "done", False, True, True, False),
+        ("write response complete", "done", False, False, False, False),
+        ("write response complete cancelled", "done", False, False, False, False),
+        ("write refused|write", "unknown", False, False, True, False),
+        ("write refused|write failed", "unknown", False, True, True, False),
+        ("failed|failed|failed", "not-run", False, False, False, False),
+        ("write failed|write failed|write failed", "unknown", False, False, False, False),
+    ],
+)
+def test_outcome_and_second_attempt(events, outcome, unrepeatable, repeatable, hedged, elsewhere):
+    assert attempts(events).outcome == outcome
+    assert attempts(events).may_start(1.0, 2.0) is unrepeatable
+    assert attempts(events, RULE).may_start(1.0, 2.0) is repeatable
+    assert attempts(events, HEDGED).may_start(1.0, 2.0) is hedged
+    assert attempts(events, RULE, elsewhere=True).may_start(1.0, 2.0) is elsewhere
+
+
+def test_request_without_attempts_is_not_run_and_may_start():
+    assert RequestAttempts(None).outcome == "not-run"
+    assert RequestAttempts(None).may_start(1.0, 2.0)
+
+
+def test_no_attempt_after_the_deadline_or_the_first_delivered_byte():
+    assert not RequestAttempts(RULE).may_start(2.0, 2.0)
+    request = attempts("write response failed", RULE)
+    request.deliver()
+    assert not request.may_start(1.0, 2.0)
+
+
+@pytest.mark.parametrize(
+    "events", ["complete", "write complete", "write refused write", "write failed response"]
+)
+def test_impossible_order_is_an_error(events):
+    with pytest.raises(WrongAttemptEvent):
+        attempts(events)
--- /dev/null
+++ b/anviltray/decisions/attempts/tests/test_table.py
@@ -0,0 +1,182 @@
+"""Guards against a second run of one identifier and against a false not-run."""
+
+import pytest
+
+from anviltray.decisions.attempts import (
+    AttemptTable,
+    Expired,
+    Forward,
+    InProgress,
+    Known,
+    NotInFlight,
+    Refuse,
+    RefuseReason,
+    Replay,
+    Start,
+    StoredResponse,
+)
+from anviltray.settings import AttemptSettings
+
+SETTINGS = AttemptSettings(
+    epoch_s=10.0, epochs_kept=2, entry_limit=3, replay_limit_bytes=8, replay_total_bytes=12
+)
+MALFORMED = Refuse(RefuseReason.MALFORMED)
+INVENTED = Refuse(RefuseReason.INVENTED)
+FULL = Refuse(RefuseReason.FULL)
+
+
+def table(**changes):
+    return AttemptTable("n1", 0xAB, SETTINGS._replace(**changes))
+
+
+def same(result, expected):
+    """Compares types too, because named tuples with equal fields compare equal."""
+    return type(result) is type(expected) and result == expected
+
+
+def response(body=b"ok"):
+    return StoredResponse(201, (), body)
+
+
+@pytest.mark.parametrize(
+    ("request_id", "result"),
+    [
+        ("n1.ab.5.x", Start("n1.ab.5.x")),
+        ("n1.ab.4." + "x" * 64, Start("n1.ab.4." + "x" * 64)),
+        ("n1.ab.4." + "x" * 65, MALFORMED),
+        ("n1.ab.3.x", Expired()),
+        ("n1.ab.6.x", INVENTED),
+        ("n1.ab.5.-1", Expired()),
+        ("n1.ac.5.x", Expired()),
+        ("n2.ac.5.x", Forward("n2", 0xAC)),
+        ("n2.ac.ffffffffff.x", Forward("n2", 0xAC)),
+        ("n1.AB.5.x", MALFORMED),
+        ("n1.0ab.5.x", MALFORMED),
+        ("n1.ab.05.x", MALFORMED),
+        ("n1.ab.5.", MALFORMED),
+        ("n1.ab.5", MALFORMED),
+        ("n1.ab.5.x.y", MALFORMED),
+        ("n1.ab.5.x\n", MALFORMED),
+        ("n1.ab.5.é", MALFORMED),
+        ("n1.ab.-5.x", MALFORMED),
+        ("n1.ab." + "1" * 17 + ".x", MALFORMED),
+        ("N1.ab.5.x", MALFORMED),
+        ("", MALFORMED),
+    ],
+)
+def test_first_arrival(request_id, result):
+    """A wrong answer here starts what another node owns, or refuses what may have run."""
+    assert same(table().arrive(55.0, request_id), result)
+
+
+def test_prefix_and_epoch_follow_the_clock_and_never_go_back():
+    attempts = table()
+    assert attempts.prefix(55.0) == "n1.ab.5."
+    assert attempts.prefix(160.0) == "n1.ab.10."
+    assert attempts.prefix(55.0) == "n1.ab.10."
+
+
+@pytest.mark.parametrize(
+    ("outcome", "stored", "result"),
+    [
+        ("done", response(), Replay(response())),
+        ("done", response(b"123456789"), Known("done")),
+        ("done", None, Known("done")),
+        ("unknown", response(), Known("unknown")),
+        ("not-run", None, Known("not-run")),
+    ],
+)
+def test_duplicate_gets_the_recorded_outcome(outcome, stored, result):
+    attempts = table()
+    assert same(attempts.arrive(50.0, "n1.ab.5.x"), Start("n1.ab.5.x"))
+    assert same(attempts.arrive(51.0, "n1.ab.5.x"), InProgress())
+    attempts.finish(52.0, "n1.ab.5.x", outcome, stored)
+    assert same(attempts.arrive(69.9, "n1.ab.5.x"), result)
+    assert same(attempts.arrive(70.0, "n1.ab.5.x"), Expired())
+    assert len(attempts) == 0
+
+
+def test_running_request_outlives_its_epoch():
+    attempts = table()
+    attempts.arrive(50.0, "n1.ab.5.x")
+    assert same(attempts.arrive(500.0, "n1.ab.5.x"), InProgress())
+    attempts.finish(501.0, "n1.ab.5.x", "done", response())
+    assert same(attempts.arrive(502.0, "n1.ab.5.x"), Expired())
+    assert len(attempts) == 0
+
+
+def test_full_table_refuses_and_a_refused_identifier_never_starts():
+    """Guards against a delayed copy that starts after its caller was told not-run."""
+    attempts = table()
+    for suffix in "abc":
+        attempts.arrive(50.0, f"n1.ab.5.{suffix}")
+        attempts.finish(50.0, f"n1.ab.5.{suffix}", "done", None)
+    assert same(attempts.arrive(51.0, "n1.ab.5.d"), FULL)
+    assert same(attempts.arrive(51.0, None), FULL)
+    assert same(attempts.arrive(51.0, "n1.ab.5.a"), Known("done"))
+    attempts = table()
+    for suffix in "abc":
+        attempts.arrive(40.0, f"n1.ab.4.{suffix}")
+        attempts.finish(40.0, f"n1.ab.4.{suffix}", "done", None)
+    assert same(attempts.arrive(51.0, "n1.ab.5.d"), FULL)
+    assert same(attempts.arrive(60.0, "n1.ab.5.d"), FULL)
+    assert same(attempts.arrive(60.0, "n1.ab.6.d"), Start("n1.ab.6.d"))
+
+
+def test_invented_identifier_stays_refused_when_its_epoch_comes():
+    attempts = table()
+    assert same(attempts.arrive(55.0, "n1.ab.6.x"), INVENTED)
+    assert same(attempts.arrive(65.0, "n1.ab.6.x"), INVENTED)
+    assert same(attempts.arrive(65.0, "n1.ab.6.y"), Start("n1.ab.6.y"))
+    assert same(attempts.arrive(85.0, "n1.ab.6.x"), Expired())
+
+
+def test_flood_of_invented_identifiers_costs_bounded_memory():
+    attempts = table()
+    answers = [attempts.arrive(55.0, f"n1.ab.ffff.{number}") for number in range(1001)]
+    assert {type(answer) for answer in answers} == {Refuse, Expired}
+    assert len(attempts) == 0
+
+
+def test_assigned_identifiers_differ_and_find_their_outcome():
+    attempts = table()
+    first, second = attempts.arrive(55.0, None), attempts.arrive(55.0, None)
+    assert first != second
+    assert same(attempts.arrive(56.0, first.request_id), InProgress())
+
+
+def test_stored_responses_are_bounded_and_the_oldest_goes_first():
+    attempts = table()
+    for suffix, body in [("a", b"123456"), ("b", b"123456"), ("c", b"1")]:
+        attempts.arrive(50.0, f"n1.ab.5.{suffix}")
+        attempts.finish(50.0, f"n1.ab.5.{suffix}", "done", response(body))
+    assert same(attempts.arrive(50.0, "n1.ab.5.a"), Known("done"))
+    assert same(attempts.arrive(50.0, "n1.ab.5.b"), Replay(response(b"123456")))
+    assert same(attempts.arrive(50.0, "n1.ab.5.c"), Replay(response(b"1")))
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "accepted"),
+    [
+        ("unknown", "not-run", True),
+        ("unknown", "done", True),
+        ("done", "unknown", False),
+        ("not-run", "done", False),
+    ],
+)
+def test_only_an_unknown_outcome_is_replaced(first, second, accepted):
+    attempts = table()
+    attempts.arrive(50.0, "n1.ab.5.x")
+    attempts.finish(50.0, "n1.ab.5.x", first, None)
+    if accepted:
+        attempts.finish(51.0, "n1.ab.5.x", second, None)
+    else:
+        with pytest.raises(NotInFlight):
+            attempts.finish(51.0, "n1.ab.5.x", second, None)
+    assert attempts.row("n1.ab.5.x")["state"] == (second if accepted else first)
+
+
+def test_finish_of_an_identifier_that_never_started_is_an_error():
+    with pytest.raises(NotInFlight):
+        table().finish(50.0, "n1.ab.5.x", "done", None)
+    assert table().row("n1.ab.5.x") is None
