--- /dev/null
+++ b/anviltray/decisions/retries/tests/test_retries.py
@@ -0,0 +1,64 @@
+"""Guards against retries of unrepeatable requests and against retry storms."""
+
+import pytest
+
+from anviltray.decisions.retries import RetryBudget, rule_for
+from anviltray.declarations import RetryRule, Service
+
+READS = RetryRule(("GET", "HEAD"), "/levels", 2, False)
+DEEP = RetryRule(("GET",), "/levels/history/", 4, True)
+SERVICE = Service("s", (), (), 0, 0.5, "balanced", 0.999, 1000.0, (READS, DEEP))
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "rule"),
+    [
+        ("GET", "/levels", READS),
+        ("GET", "/levels?x=/../orders", READS),
+        ("HEAD", "/levels/7", READS),
+        ("GET", "/levels/history", DEEP),
+        ("GET", "/levels/history/7", DEEP),
+        ("HEAD", "/levels/history/7", READS),
+        ("GET", "/levelsx", None),
+        ("GET", "/orders", None),
+        ("POST", "/levels", None),
+        ("get", "/levels", None),
+        ("GET", "/levels/../orders", None),
+        ("GET", "/levels/..;a/orders", None),
+        ("GET", "/levels/%2E%2e/orders", None),
+        ("GET", "/levels/..%2forders", None),
+        ("GET", "/levels/%252e%252e/orders", None),
+        ("GET", "/levels\\..\\orders", None),
+        ("GET", "//levels", None),
+        ("GET", "", None),
+    ],
+)
+def test_rule_for(method, path, rule):
+    assert rule_for(SERVICE, method, path) == rule
+
+
+def test_root_prefix_matches_every_path():
+    rule = RetryRule(("GET",), "/", 2, False)
+    assert rule_for(SERVICE._replace(retry_rules=(rule,)), "GET", "/a") == rule
+
+
+@pytest.mark.parametrize(
+    ("requests", "allowed"), [(0, 1), (1, 1), (19, 1), (20, 2), (100, 10), (1005, 100)]
+)
+def test_share_of_a_window(requests, allowed):
+    budget = RetryBudget()
+    for number in range(requests):
+        budget.request(number * 9.0 / requests)
+    assert [budget.take(9.0) for _ in range(requests + 2)].count(True) == allowed
+
+
+def test_budget_slides():
+    budget = RetryBudget()
+    assert budget.take(0.0) and not budget.take(9.9) and budget.take(10.0)
+    assert not budget.take(11.0) and budget.take(1000.0)
+
+
+def test_another_layer_that_retries_gets_nothing():
+    budget = RetryBudget()
+    assert not budget.take(0.0, retries_elsewhere=True)
+    assert budget.take(0.0)
