Add admission, adaptive concurrency and the link budget

Cause: a node must refuse early what cannot end before its deadline, share a service fairly among callers, and bound the bytes to other regions. Change: Admission with a fair queue and additive increase, multiplicative decrease of the concurrency from the node's share of the slots; Retry-After from the queue plus the refusals that were told to come back earlier; LinkBudget as a token bucket with reserves by use.

--- /dev/null
+++ b/anviltray/decisions/limits/__init__.py
@@ -0,0 +1,28 @@
+"""Limits: admission of requests to one service, and the byte budget to other regions."""
+
+from anviltray.decisions.limits._admission import Admission, UnknownTicket
+from anviltray.decisions.limits._concurrency import ConcurrencyLimit
+from anviltray.decisions.limits._link import LinkBudget, LinkUse
+from anviltray.decisions.limits._queue import FairQueue, QueuedTicket
+from anviltray.decisions.limits._types import (
+    AdmissionResult,
+    AdmissionSettings,
+    Admitted,
+    Queued,
+    Refused,
+)
+
+__all__ = [
+    "Admission",
+    "AdmissionResult",
+    "AdmissionSettings",
+    "Admitted",
+    "ConcurrencyLimit",
+    "FairQueue",
+    "LinkBudget",
+    "LinkUse",
+    "Queued",
+    "QueuedTicket",
+    "Refused",
+    "UnknownTicket",
+]
--- /dev/null
+++ b/anviltray/decisions/limits/_queue.py
@@ -0,0 +1,92 @@
+"""Queue that serves callers in turn, so that one caller cannot fill it."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+
+class QueuedTicket(NamedTuple):
+    """One waiting request."""
+
+    ticket: int  # Number that the user of the queue chose.
+    caller: str  # Caller that sent the request.
+    deadline_s: float  # The request must not start from this time on.
+
+
+class FairQueue:
+    """Waiting requests, first in first out per caller and round robin over callers."""
+
+    def __init__(self) -> None:
+        # Insertion order is the order of the turns; a served caller moves to the end.
+        self._callers: dict[str, deque[QueuedTicket]] = {}
+        self._length = 0
+        # No queued request expires before this time; avoids a scan at each arrival.
+        self._earliest_deadline_s = float("inf")
+
+    def __len__(self) -> int:
+        return self._length
+
+    def push(self, item: QueuedTicket) -> None:
+        """Adds a request at the end of its caller's line."""
+        self._callers.setdefault(item.caller, deque()).append(item)
+        self._length += 1
+        self._earliest_deadline_s = min(self._earliest_deadline_s, item.deadline_s)
+
+    def pop(self) -> QueuedTicket:
+        """Removes the next request; raises LookupError if the queue is empty."""
+        caller = next(iter(self._callers), None)
+        if caller is None:
+            raise LookupError("the queue is empty")
+        line = self._callers.pop(caller)
+        item = line.popleft()
+        if line:
+            self._callers[caller] = line
+        self._length -= 1
+        return item
+
+    def ahead_of(self, caller: str) -> int:
+        """Returns how many requests would be served before a new one of `caller`."""
+        position = len(self._callers.get(caller, ()))
+        return sum(min(len(line), position + 1) for line in self._callers.values())
+
+    def displace_for(self, caller: str) -> QueuedTicket | None:
+        """Removes the newest request of the longest line if `caller` has a shorter one.
+
+        The difference must be at least two, otherwise two callers would displace each other.
+        """
+        longest = max(self._callers, key=lambda name: len(self._callers[name]), default=None)
+        if longest is None:
+            return None
+        own = len(self._callers.get(caller, ()))
+        if len(self._callers[longest]) < own + 2:
+            return None
+        self._length -= 1
+        return self._callers[longest].pop()
+
+    def remove(self, ticket: int) -> bool:
+        """Removes a request; False if it is not queued."""
+        return bool(self._remove_if(lambda item: item.ticket == ticket))
+
+    def remove_expired(self, now_s: float) -> tuple[int, ...]:
+        """Removes the requests whose deadline has passed and returns their tickets."""
+        if now_s < self._earliest_deadline_s:
+            return ()
+        removed = self._remove_if(lambda item: item.deadline_s <= now_s)
+        deadlines = (item.deadline_s for line in self._callers.values() for item in line)
+        self._earliest_deadline_s = min(deadlines, default=float("inf"))
+        return removed
+
+    def _remove_if(self, condition: Callable[[QueuedTicket], bool]) -> tuple[int, ...]:
+        removed: list[int] = []
+        for caller, line in list(self._callers.items()):
+            dropped = [item.ticket for item in line if condition(item)]
+            if not dropped:
+                continue
+            removed.extend(dropped)
+            kept = deque(item for item in line if not condition(item))
+            if kept:
+                self._callers[caller] = kept
+            else:
+                del self._callers[caller]
+        self._length -= len(removed)
+        return tuple(removed)
