Add routers, the load board and subsets of upstreams

Cause: 48 nodes choose upstreams with stale reports, in tiers of zone, region and link. Ruled out: comparing costs exactly: an upstream that was worse by rounding only was never chosen again in a test; a tie margin and a finite lifetime of reports replace it. Change: registry with two_choices, round_robin and random, LoadBoard, choose_subset on a circle. Decision cost not measured yet.

--- /dev/null
+++ b/anviltray/decisions/routing/__init__.py
@@ -0,0 +1,31 @@
+"""Routing: which upstream gets a request.
+
+Example: `router = routers["two_choices"]("viti", "viti-a", LoadBoard("n1", 7), Random(1))`, then
+`router.choose(routable, now_s, frozenset(), unrepeatable=False, size_bytes=400)`.
+"""
+
+from anviltray.decisions.routing._baselines import RandomRouter, RoundRobinRouter
+from anviltray.decisions.routing._board import LoadBoard
+from anviltray.decisions.routing._interface import NodePlace, Router, RouterFactory, routers
+from anviltray.decisions.routing._subset import (
+    choose_subset,
+    connection_limit,
+    node_rank,
+    subset_size,
+)
+from anviltray.decisions.routing._two_choices import TwoChoicesRouter
+
+__all__ = [
+    "LoadBoard",
+    "NodePlace",
+    "RandomRouter",
+    "RoundRobinRouter",
+    "Router",
+    "RouterFactory",
+    "TwoChoicesRouter",
+    "choose_subset",
+    "connection_limit",
+    "node_rank",
+    "routers",
+    "subset_size",
+]
--- /dev/null
+++ b/anviltray/decisions/routing/_baselines.py
@@ -0,0 +1,84 @@
+"""Routers that measurements compare with; they ignore load, places and the link."""
+
+from collections.abc import Sequence
+from random import Random
+
+from anviltray.decisions._types import RoutableSet, RoutableUpstream
+from anviltray.decisions.limits import LinkBudget
+from anviltray.decisions.routing._board import LoadBoard
+from anviltray.decisions.routing._interface import NodePlace, routers
+
+
+@routers.register("round_robin")
+class RoundRobinRouter:
+    """Takes the upstreams of a service in turn from a random start."""
+
+    def __init__(
+        self,
+        region: str,
+        zone: str,
+        load_board: LoadBoard,
+        rng: Random,
+        *,
+        node: str = "",
+        link: LinkBudget | None = None,
+    ) -> None:
+        self._rng = rng
+        self._next: dict[str, int] = {}
+
+    def set_nodes(self, nodes: Sequence[NodePlace]) -> None:
+        """Does nothing: every node uses every upstream."""
+
+    def choose(
+        self,
+        routable: RoutableSet,
+        now_s: float,
+        exclude: frozenset[str],
+        unrepeatable: bool,
+        size_bytes: int,
+    ) -> RoutableUpstream | None:
+        """Returns the next upstream that is not excluded."""
+        count = len(routable.upstreams)
+        turn = self._next.get(routable.service)
+        if turn is None:
+            turn = self._rng.randrange(max(1, count))
+        for step in range(count):
+            upstream = routable.upstreams[(turn + step) % count]
+            if upstream.address not in exclude:
+                self._next[routable.service] = (turn + step + 1) % count
+                return upstream
+        return None
+
+
+@routers.register("random")
+class RandomRouter:
+    """Takes any upstream with equal probability."""
+
+    def __init__(
+        self,
+        region: str,
+        zone: str,
+        load_board: LoadBoard,
+        rng: Random,
+        *,
+        node: str = "",
+        link: LinkBudget | None = None,
+    ) -> None:
+        self._rng = rng
+
+    def set_nodes(self, nodes: Sequence[NodePlace]) -> None:
+        """Does nothing: every node uses every upstream."""
+
+    def choose(
+        self,
+        routable: RoutableSet,
+        now_s: float,
+        exclude: frozenset[str],
+        unrepeatable: bool,
+        size_bytes: int,
+    ) -> RoutableUpstream | None:
+        """Returns a random upstream that is not excluded."""
+        upstreams: Sequence[RoutableUpstream] = routable.upstreams
+        if exclude:
+            upstreams = [item for item in upstreams if item.address not in exclude]
+        return upstreams[int(self._rng.random() * len(upstreams))] if upstreams else None
--- /dev/null
+++ b/anviltray/decisions/routing/_interface.py
@@ -0,0 +1,53 @@
+"""What the request path needs of a router."""
+
+from collections.abc import Sequence
+from random import Random
+from typing import NamedTuple, Protocol
+
+from anviltray.decisions._registry import Registry
+from anviltray.decisions._types import RoutableSet, RoutableUpstream
+from anviltray.decisions.limits import LinkBudget
+from anviltray.decisions.routing._board import LoadBoard
+
+
+class NodePlace(NamedTuple):
+    """Where a live node is."""
+
+    node: str  # Node name.
+    region: str  # Region of the host.
+    zone: str  # Availability zone of the host.
+
+
+class Router(Protocol):
+    """Chooses upstreams for the requests of one node."""
+
+    def choose(
+        self,
+        routable: RoutableSet,
+        now_s: float,
+        exclude: frozenset[str],
+        unrepeatable: bool,
+        size_bytes: int,
+    ) -> RoutableUpstream | None:
+        """Returns the upstream for one request, or None if no allowed one is left."""
+
+    def set_nodes(self, nodes: Sequence[NodePlace]) -> None:
+        """Sets the live nodes, including this one, that share the upstreams."""
+
+
+class RouterFactory(Protocol):
+    """Builds a router; `node` names this node and `link` bounds bytes to other regions."""
+
+    def __call__(
+        self,
+        region: str,
+        zone: str,
+        load_board: LoadBoard,
+        rng: Random,
+        *,
+        node: str = "",
+        link: LinkBudget | None = None,
+    ) -> Router: ...
+
+
+routers: Registry[RouterFactory] = Registry("router")
--- /dev/null
+++ b/anviltray/decisions/routing/tests/test_routers.py
@@ -0,0 +1,138 @@
+"""Guards against herding, needless traffic to other regions and use of excluded upstreams."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from anviltray.decisions import RoutableSet, RoutableUpstream
+from anviltray.decisions.limits import LinkBudget
+from anviltray.decisions.routing import LoadBoard, NodePlace, routers
+
+NONE = frozenset()
+PLACES = {"z": ("viti", "viti-a"), "r": ("viti", "viti-b"), "f": ("vanua", "vanua-a")}
+
+
+def upstream(name, slots=4, weight=1.0):
+    return RoutableUpstream(name, *PLACES[name[0]], slots, weight)
+
+
+def routable(*upstreams, generation=1):
+    return RoutableSet(generation, "s", tuple(sorted(upstreams)))
+
+
+def counts(router, upstreams, times=1000, now_s=0.0, exclude=NONE, size_bytes=1):
+    chosen = [router.choose(upstreams, now_s, exclude, False, size_bytes) for _ in range(times)]
+    return Counter(item and item.address for item in chosen)
+
+
+def build(name="two_choices", link=None):
+    board = LoadBoard("n1", 1)
+    return routers[name]("viti", "viti-a", board, Random(1), node="n1", link=link), board
+
+
+def report(board, loads, now_s=0.0, latency_s=0.02):
+    for address, load in loads.items():
+        for _ in range(200):
+            board.started(address)
+            board.ended(now_s, address, latency_s, load)
+
+
+@pytest.mark.parametrize("name", list(routers))
+def test_every_router_spreads_evenly_and_honours_exclude(name):
+    router, _ = build(name)
+    four = routable(*(upstream(f"z{number}") for number in range(4)))
+    assert all(200 < count < 300 for count in counts(router, four).values())
+    assert set(counts(router, four, exclude=frozenset(["z0", "z2"]))) == {"z1", "z3"}
+    assert set(counts(router, four, 5, exclude=frozenset(["z0", "z1", "z2", "z3"]))) == {None}
+    assert set(counts(router, routable(generation=2), 5)) == {None}
+
+
+@pytest.mark.parametrize(
+    ("loads", "chosen"),
+    [
+        ({}, "z"),
+        ({"z0": 0.5, "z1": 0.5, "r0": 0.0, "f0": 0.0}, "z"),
+        ({"z0": 1.0, "z1": 0.1, "r0": 0.0, "f0": 0.0}, "z"),
+        ({"z0": 0.9, "z1": 0.9, "r0": 0.2, "f0": 0.0}, "r"),
+        ({"z0": 0.9, "z1": 0.9, "r0": 1.0, "f0": 0.0}, "z"),
+        ({"z0": 1.0, "z1": 1.0, "r0": 1.0, "f0": 0.1}, "f"),
+        ({"z0": 1.0, "z1": 1.0, "r0": 1.0, "f0": 1.0}, "z"),
+    ],
+)
+def test_tiers(loads, chosen):
+    router, board = build()
+    places = routable(upstream("z0"), upstream("z1"), upstream("r0"), upstream("f0"))
+    counts(router, places, 1)
+    report(board, loads)
+    assert {address[0] for address in counts(router, places)} == {chosen}
+
+
+def test_other_regions_get_no_more_than_the_link_budget():
+    router, board = build(link=LinkBudget(1000.0))
+    places = routable(upstream("z0"), upstream("f0"))
+    counts(router, places, 1)
+    report(board, {"z0": 1.0, "f0": 0.1})
+    assert counts(router, places, 100, size_bytes=10) == {"f0": 60, "z0": 40}
+    unrepeatable = [router.choose(places, 0.0, NONE, True, 10).address for _ in range(100)]
+    assert Counter(unrepeatable) == {"f0": 30, "z0": 70}
+
+
+def test_only_other_regions_left():
+    router, _ = build()
+    assert set(counts(router, routable(upstream("f0"), upstream("f1")))) == {"f0", "f1"}
+
+
+@pytest.mark.parametrize("weight", [0.05, 0.2])
+def test_upstream_that_has_just_returned_is_not_overrun(weight):
+    """It looks idle, so a choice by load alone would send it everything."""
+    router, board = build()
+    before = routable(*(upstream(f"z{number}") for number in range(9)))
+    counts(router, before, 1)
+    report(board, {f"z{number}": 0.7 for number in range(9)})
+    after = routable(*before.upstreams, upstream("z9", weight=weight), generation=2)
+    share = counts(router, after, 10000)["z9"] / 10000
+    assert 0 < share < 2.2 * weight / (9 + weight)
+
+
+@pytest.mark.parametrize(
+    "disturb",
+    [
+        lambda board: [board.started("z0") for _ in range(8)],
+        lambda board: report(board, {"z0": 1.0}),
+        lambda board: report(board, {"z0": 0.3}, latency_s=0.2),
+    ],
+    ids=["outstanding", "reported", "latency"],
+)
+def test_avoids_the_loaded_upstream(disturb):
+    router, board = build()
+    four = routable(*(upstream(f"z{number}") for number in range(4)))
+    counts(router, four, 1)
+    report(board, {f"z{number}": 0.3 for number in range(4)})
+    disturb(board)
+    assert counts(router, four)["z0"] < 120
+
+
+def test_old_report_loses_its_weight():
+    """A report that kept its weight would starve an upstream that nobody asks any more."""
+    router, board = build()
+    four = routable(*(upstream(f"z{number}") for number in range(4)))
+    counts(router, four, 1)
+    report(board, {f"z{number}": 0.3 for number in range(4)})
+    report(board, {"z0": 0.9})
+    fresh = counts(router, four, now_s=0.0)["z0"]
+    report(board, {f"z{number}": 0.3 for number in range(1, 4)}, now_s=60.0)
+    assert fresh < 50 < counts(router, four, now_s=60.0)["z0"]
+
+
+def test_nodes_divide_many_upstreams():
+    nodes = [NodePlace(f"n{number}", "viti", "viti-a") for number in range(400)]
+    upstreams = routable(*(upstream(f"z{number}") for number in range(100)))
+    used = Counter()
+    for place in nodes:
+        router = routers["two_choices"](
+            place.region, place.zone, LoadBoard(place.node), Random(1), node=place.node
+        )
+        router.set_nodes(nodes)
+        used.update(counts(router, upstreams, 100).keys())
+    assert len(used) == 100 and max(used.values()) <= 50
