--- /dev/null
+++ b/anviltray/callers/_application.py
@@ -0,0 +1,139 @@
+"""The ASGI application: Falcon for the node's own paths, the dispatcher for everything else."""
+
+import asyncio
+import json
+from typing import Any
+
+import falcon
+import falcon.asgi
+
+from anviltray.callers._context import CallerContext
+from anviltray.callers._dispatcher import Dispatcher
+from anviltray.callers._exchange import CallerExchange
+from anviltray.callers._problems import CONTENT_TYPE
+
+OWN_PREFIX = "/.anviltray/"
+ASK_PATH = "/.anviltray/ask"
+HEALTH_PATH = "/.anviltray/health"
+READY_PATH = "/.anviltray/ready"
+
+
+class AskResource:
+    """Tells a caller which entry addresses to use."""
+
+    def __init__(self, context: CallerContext) -> None:
+        self._context = context
+
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Answers `?service=NAME&region=R`; the region is optional."""
+        context = self._context
+        service = request.get_param("service", required=True)
+        region = request.get_param("region", default=context.settings.region)
+        if not context.has_service(service):
+            raise falcon.HTTPNotFound(
+                title="no-service", description=f"no service {service!r} is declared"
+            )
+        settings = context.settings.callers
+        addresses = context.entry_addresses(
+            context.members(), service, region, request.remote_addr, settings.answer_addresses
+        )
+        response.media = {
+            "addresses": list(addresses),
+            "lifetime_s": settings.answer_lifetime_s,
+            "request_id_prefix": context.attempts.prefix(asyncio.get_running_loop().time()),
+        }
+
+
+class HealthResource:
+    """Tells that the process answers."""
+
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Answers with 200."""
+        response.media = {"status": "ok"}
+
+
+class ReadyResource:
+    """Tells whether the node can serve, and if not, why."""
+
+    def __init__(self, context: CallerContext) -> None:
+        self._context = context
+
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Answers with 200 or 503."""
+        reasons = list(self._context.not_ready())
+        if self._context.shutting_down:
+            reasons.append("the node is shutting down")
+        if reasons:
+            response.status = falcon.HTTP_503
+        response.media = {"ready": not reasons, "reasons": reasons}
+
+
+class CloseMiddleware:
+    """Asks callers to close their connections while the node shuts down."""
+
+    def __init__(self, context: CallerContext) -> None:
+        self._context = context
+
+    async def process_response(
+        self,
+        request: falcon.asgi.Request,
+        response: falcon.asgi.Response,
+        resource: object,
+        succeeded: bool,
+    ) -> None:
+        """Adds `Connection: close`."""
+        if self._context.shutting_down:
+            response.set_header("connection", "close")
+
+
+def _write_problem(
+    request: falcon.Request, response: falcon.Response, error: falcon.HTTPError
+) -> None:
+    """Answers an error of Falcon with a problem document; nothing of it is run upstream."""
+    title = error.title or "error"
+    name = title.lower().replace(" ", "-")
+    response.content_type = CONTENT_TYPE.decode()
+    response.data = json.dumps(
+        {
+            "type": f"urn:anviltray:problem:{name}",
+            "title": title,
+            "status": error.status_code,
+            "detail": error.description or title,
+            "outcome": "not-run",
+        }
+    ).encode()
+    response.set_header("anviltray-outcome", "not-run")
+
+
+def create_falcon_application(context: CallerContext) -> falcon.asgi.App[Any, Any]:
+    """Returns the Falcon application with the node's own resources."""
+    application = falcon.asgi.App(middleware=[CloseMiddleware(context)])
+    application.set_error_serializer(_write_problem)
+    application.add_route(ASK_PATH, AskResource(context))
+    application.add_route(HEALTH_PATH, HealthResource())
+    application.add_route(READY_PATH, ReadyResource(context))
+    return application
+
+
+class CallerApplication:
+    """ASGI application; it needs the protocol class of this package."""
+
+    def __init__(self, context: CallerContext) -> None:
+        self._own = create_falcon_application(context)
+        self.dispatcher = Dispatcher(context)
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answers one request."""
+        exchange: CallerExchange = scope["anviltray.exchange"]
+        head = self.dispatcher.read_head(exchange)
+        if head is None:
+            return
+        if head.path.startswith(OWN_PREFIX):
+            await self._own(scope, receive, send)
+        else:
+            await self.dispatcher.handle(exchange, head)
+
+
+def create_application(context: CallerContext) -> CallerApplication:
+    """Returns the ASGI application; must be called in the event loop."""
+    return CallerApplication(context)
--- /dev/null
+++ b/anviltray/callers/_attempt.py
@@ -0,0 +1,78 @@
+"""One attempt at one upstream: its evidence, its load and its end, each reported once."""
+
+from collections.abc import Callable
+
+from anviltray.callers._context import CallerContext
+from anviltray.decisions import ExchangeOutcome
+
+
+class Attempt:
+    """Reports the phases of one exchange to the decision objects.
+
+    It is the observer of `UpstreamClient.send`. `written` stays False as long as it is certain that
+    no byte of the request was written.
+    """
+
+    __slots__ = (
+        "_context",
+        "_exchange",
+        "_loop_time",
+        "_service",
+        "_started_s",
+        "address",
+        "first_byte_s",
+        "fresh",
+        "latency_s",
+        "load",
+        "outcome",
+        "written",
+    )
+
+    def __init__(
+        self, context: CallerContext, service: str, address: str, loop_time: Callable[[], float]
+    ) -> None:
+        self._context = context
+        self._service = service
+        self._loop_time = loop_time
+        self._exchange: int | None = None
+        self._started_s = loop_time()
+        self.address = address
+        self.fresh = False
+        self.written = False
+        self.first_byte_s: float | None = None
+        self.latency_s = 0.0
+        self.load: float | None = None
+        self.outcome = ExchangeOutcome.ABANDONED
+
+    def connection(self, fresh: bool) -> None:
+        """A connection is chosen, or a new one is about to be opened."""
+        context = self._context
+        self.fresh = fresh
+        self._started_s = now = self._loop_time()
+        self._exchange = context.board.started(now, self._service, self.address, fresh)
+        context.loads.started(self.address)
+
+    def writing(self) -> None:
+        """The first byte of the request is about to be written."""
+        self.written = True
+
+    def first_byte(self) -> None:
+        """The head of the response has arrived."""
+        self.first_byte_s = now = self._loop_time()
+        if self._exchange is not None:
+            self._context.board.first_byte(now, self._exchange)
+
+    def ended(self, outcome: ExchangeOutcome) -> None:
+        """Reports the end; further calls change nothing.
+
+        The latency is the time to the head of the response, since a slow caller can delay the body.
+        """
+        exchange = self._exchange
+        if exchange is None:
+            return
+        self._exchange = None
+        self.outcome = outcome
+        now = self._loop_time()
+        self.latency_s = (self.first_byte_s or now) - self._started_s
+        self._context.board.ended(now, exchange, outcome)
+        self._context.loads.ended(now, self.address, self.latency_s, self.load)
--- /dev/null
+++ b/anviltray/callers/_dispatcher.py
@@ -0,0 +1,189 @@
+"""Dispatches requests: route, at-most-once, admission, attempts."""
+
+import asyncio
+import math
+from typing import Any
+
+import logbook
+
+from anviltray.callers._body import RequestBody
+from anviltray.callers._call import Call
+from anviltray.callers._context import Admission, CallerContext
+from anviltray.callers._exchange import CallerExchange
+from anviltray.callers._forward import forward
+from anviltray.callers._head import HeadReader, RequestHead
+from anviltray.callers._problems import InputError, Problem
+from anviltray.callers._relay import add_length
+from anviltray.callers._runner import Runner
+from anviltray.callers._ticket import Ticket, release
+from anviltray.decisions import ExchangeOutcome
+
+_log = logbook.Logger("anviltray.callers")
+
+_NO_ROUTE = Problem(404, "no-route", "no service has a route for the request")
+_NOT_READY = Problem(503, "not-ready", "the node is not ready", retry_after_s=1)
+_QUEUE_TIMEOUT = Problem(
+    503, "queue-timeout", "the deadline passed while the request was queued", retry_after_s=1
+)
+_OVERLOAD = Problem(503, "overload", "the service has no capacity left")
+_IN_PROGRESS = Problem(
+    409, "in-progress", "a request with this identifier is running", "unknown", retry_after_s=1
+)
+_EXPIRED = Problem(409, "identifier-expired", "nothing is known of this identifier", "unknown")
+_FAULT = Problem(500, "internal-error", "the node failed", close=True)
+
+
+class Dispatcher:
+    """Answers the proxied requests of one node."""
+
+    def __init__(self, context: CallerContext) -> None:
+        self._context = context
+        self._loop = asyncio.get_running_loop()
+        self._reader = HeadReader(context.settings.callers, context.upstreams.dialect)
+        self._runner = Runner(context)
+        self._admissions: dict[str, Admission] = {}
+
+    def read_head(self, exchange: CallerExchange) -> RequestHead | None:
+        """Returns the head of a request, or None if it was answered with a problem."""
+        try:
+            return self._reader.read(exchange.scope)
+        except InputError as error:
+            self._context.count("refused.head")
+            exchange.respond_problem(error.problem)
+            return None
+
+    async def handle(self, exchange: CallerExchange, head: RequestHead) -> None:
+        """Answers one request."""
+        context = self._context
+        service = context.route(head.host, head.path)
+        if service is None:
+            problem = _NOT_READY if context.not_ready() else _NO_ROUTE
+            exchange.respond_problem(problem, head.request_id, context.shutting_down)
+            return
+        rule = context.rule_for(service, head.method, head.path)
+        limit = context.settings.callers.body_limit_bytes
+        body = RequestBody(exchange, head.content_length, limit)
+        call = Call(exchange, head, service, rule, body, self._loop.time())
+        exchange.on_disconnect = call.caller_left
+        try:
+            if rule is None:
+                await self._once(call)
+            else:
+                await self._run(call)
+        except InputError as error:
+            call.respond_problem(error.problem)
+        except asyncio.CancelledError:
+            if not exchange.disconnected:
+                raise
+            context.count("caller.left")
+        except Exception:
+            _log.exception("request of service {} failed", service.name)
+            call.may_have_run |= call.attempt is not None and call.attempt.written
+            call.respond_problem(_FAULT)
+        finally:
+            exchange.on_disconnect = None
+            if call.status:
+                latency_s = self._loop.time() - call.started_s
+                context.completed(service.name, call.status, latency_s, call.outcome)
+
+    async def _once(self, call: Call) -> None:
+        """Runs an unrepeatable request unless its identifier says that it must not run here."""
+        attempts = self._context.attempts
+        verdict: Any = attempts.arrive(self._loop.time(), call.head.request_id)
+        if type(verdict).__name__ != "Start":
+            await self._not_here(call, verdict)
+            return
+        request_id = call.request_id = verdict.request_id
+        try:
+            await self._run(call)
+        finally:
+            attempts.finish(self._loop.time(), request_id, call.outcome, call.stored)
+
+    async def _not_here(self, call: Call, verdict: Any) -> None:
+        context, exchange = self._context, call.exchange
+        close = context.shutting_down
+        kind = type(verdict).__name__
+        if kind == "Replay":
+            stored = verdict.response
+            headers = list(stored.headers)
+            add_length(call.head.method, stored.status, headers, len(stored.body))
+            call.status, call.done = stored.status, True
+            exchange.respond(stored.status, headers, stored.body, close)
+        elif kind == "Forward":
+            address = context.node_address(verdict.node, verdict.incarnation)
+            await forward(context, call, address)
+        else:
+            problem = _verdict_problem(kind, verdict)
+            call.status = problem.status
+            exchange.respond_problem(problem, call.head.request_id, close)
+
+    async def _run(self, call: Call) -> None:
+        """Runs a request once the service admits it."""
+        context = self._context
+        # Before admission, so that a caller that sends slowly holds no slot.
+        await call.body.read_short()
+        name = call.service.name
+        admission = self._admissions.get(name)
+        if admission is None:
+            admission = self._admissions[name] = context.admission(name)
+        ticket = Ticket()
+        now = self._loop.time()
+        verdict: Any = admission.arrive(now, call.exchange.caller, call.deadline_s, ticket)
+        kind = type(verdict).__name__
+        if kind == "Refused":
+            context.count("refused.admission")
+            retry_after_s = max(1, math.ceil(verdict.retry_after_s))
+            problem = _OVERLOAD._replace(retry_after_s=retry_after_s)
+            call.respond_problem(problem, context.shutting_down)
+            return
+        if kind == "Admitted":
+            ticket.settle(True)
+        try:
+            if kind == "Queued" and not await self._wait(call, ticket):
+                context.count("refused.queue")
+                call.respond_problem(_QUEUE_TIMEOUT, context.shutting_down)
+                return
+            await self._runner.run(call)
+        finally:
+            if ticket.admitted:
+                self._release(admission, ticket, call)
+
+    def _release(self, admission: Admission, ticket: Ticket, call: Call) -> None:
+        attempt = call.attempt
+        now = self._loop.time()
+        if attempt is None:
+            release(admission, now, ticket, 0.0, ExchangeOutcome.ABANDONED)
+        else:
+            release(admission, now, ticket, attempt.latency_s, attempt.outcome)
+
+    async def _wait(self, call: Call, ticket: Ticket) -> bool:
+        timer = self._loop.call_at(call.deadline_s, call.expire)
+        try:
+            return await ticket.wait()
+        except asyncio.CancelledError:
+            if not call.take_time_out():
+                raise
+            return False
+        finally:
+            timer.cancel()
+
+    def expire_queued(self) -> None:
+        """Ends the waits whose deadline has passed; called by the server."""
+        now = self._loop.time()
+        for admission in self._admissions.values():
+            for ticket in admission.expire(now):
+                ticket.settle(False)
+
+
+def _verdict_problem(kind: str, verdict: Any) -> Problem:
+    """Returns the problem for a request that the attempt table does not let start."""
+    if kind == "InProgress":
+        return _IN_PROGRESS
+    if kind == "Known":
+        detail = "a request with this identifier has ended; its response is not kept"
+        return Problem(409, "identifier-used", detail, verdict.outcome)
+    if kind == "Refuse":
+        if "full" in verdict.reason:
+            return Problem(503, "attempts-full", verdict.reason, retry_after_s=1)
+        return Problem(400, "identifier-refused", verdict.reason)
+    return _EXPIRED
--- /dev/null
+++ b/anviltray/callers/_exchange.py
@@ -0,0 +1,204 @@
+"""One request of a caller and its response, on uvicorn's request cycle.
+
+Falcon's resources use the ASGI `receive` and `send` of the base class. Proxied requests use the
+methods here: they write the head together with the first bytes of the body and need no message
+dictionaries.
+"""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, Any
+
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE, RequestResponseCycle
+
+from anviltray.callers._problems import (
+    InputError,
+    Problem,
+    problem_body,
+    problem_headers,
+)
+
+if TYPE_CHECKING:
+    from anviltray.callers._protocol import CallerProtocol
+
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER on with 0 s.
+
+
+class CallerLeft(InputError):
+    """The caller closed its connection."""
+
+    def __init__(self) -> None:
+        super().__init__(Problem(400, "caller-left", "the caller closed the connection"))
+
+
+class CallerExchange(RequestResponseCycle):
+    """One request and its response."""
+
+    def __init__(self, protocol: "CallerProtocol", scope: Any, keep_alive: bool, expect: bool):
+        super().__init__(
+            scope=scope,
+            transport=protocol.transport,
+            flow=protocol.flow,
+            logger=protocol.logger,
+            access_logger=protocol.access_logger,
+            access_log=False,
+            default_headers=protocol.server_state.default_headers,
+            message_event=asyncio.Event(),
+            expect_100_continue=expect,
+            keep_alive=keep_alive,
+            on_response=protocol.on_response_complete,
+        )
+        self.protocol = protocol
+        self.input_error: InputError | None = None
+        self.on_disconnect: Callable[[], None] | None = None
+        self.waiting_since: float | None = None  # Waits for the caller's body since then.
+        self.blocked_since: float | None = None  # Waits for the caller to read since then.
+        self._chunked = False
+
+    @property
+    def caller(self) -> str:
+        """IP address of the caller."""
+        client = self.scope["client"]
+        return client[0] if client else ""
+
+    def fail_input(self, error: InputError) -> None:
+        """Ends the request body with an error."""
+        self.input_error = error
+        self.keep_alive = False
+        self.message_event.set()
+
+    async def read_body(self) -> tuple[bytes, bool]:
+        """Returns the next bytes of the body and whether there are more; raises InputError."""
+        if self.waiting_for_100_continue and not self.transport.is_closing():
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.waiting_for_100_continue = False
+        while not self.body and self.more_body and self.input_error is None:
+            if self.disconnected:
+                raise CallerLeft
+            self.flow.resume_reading()
+            self.message_event.clear()
+            self.waiting_since = self.protocol.loop.time()
+            try:
+                await self.message_event.wait()
+            finally:
+                self.waiting_since = None
+        if self.input_error is not None:
+            raise self.input_error
+        chunk = bytes(self.body)
+        self.body = bytearray()
+        if self.more_body:
+            self.flow.resume_reading()
+        return chunk, self.more_body
+
+    def respond(
+        self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes, close: bool = False
+    ) -> None:
+        """Writes a whole response; `headers` contains its length."""
+        if self.disconnected:
+            return
+        head = self._head(status, headers, close)
+        if body and self.scope["method"] != "HEAD":
+            head.append(body)
+        self.transport.write(b"".join(head))
+        self._complete()
+
+    def respond_problem(
+        self, problem: Problem, request_id: str | None = None, close: bool = False
+    ) -> None:
+        """Writes a problem document."""
+        if problem.close or self.more_body:
+            # The rest of the body is not read, so no further request can follow it.
+            close = True
+        body = problem_body(problem, request_id)
+        headers = [*self.protocol.server_state.default_headers, *problem_headers(problem, body)]
+        self.respond(problem.status, headers, body, close)
+
+    async def begin(
+        self, status: int, headers: Sequence[tuple[bytes, bytes]], first: bytes, close: bool = False
+    ) -> None:
+        """Writes the head of a response of several parts with the first part."""
+        if self.disconnected:
+            return
+        has_length = any(name == b"content-length" for name, _ in headers)
+        bodiless = self.scope["method"] == "HEAD" or status in (204, 304)
+        extra: list[tuple[bytes, bytes]] = []
+        if not has_length and not bodiless:
+            if self.scope["http_version"] == "1.1":
+                self._chunked = True
+                extra = [(b"transfer-encoding", b"chunked")]
+            else:
+                # HTTP/1.0 has no chunks: the end of the connection ends the body, and a reset
+                # shows that it was cut.
+                close = True
+        head = self._head(status, [*headers, *extra], close)
+        if first:
+            head.extend(self._frame(first))
+        self.transport.write(b"".join(head))
+        if self.flow.write_paused:
+            await self._drain()
+
+    async def write(self, chunk: bytes) -> None:
+        """Writes one part; waits while the caller is slow; does nothing once it has left."""
+        if self.disconnected:
+            return
+        if self._chunked:
+            self.transport.write(b"".join(self._frame(chunk)))
+        else:
+            self.transport.write(chunk)
+        if self.flow.write_paused:
+            await self._drain()
+
+    def end(self) -> None:
+        """Ends a response of several parts."""
+        if self.disconnected:
+            return
+        if self._chunked:
+            self.transport.write(b"0\r\n\r\n")
+        self._complete()
+
+    def abort(self) -> None:
+        """Resets the connection, so that a response that was cut short cannot look complete."""
+        if self.transport.is_closing():
+            return
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self.transport.abort()
+
+    def _head(
+        self, status: int, headers: Sequence[tuple[bytes, bytes]], close: bool
+    ) -> list[bytes]:
+        self.response_started = True
+        if close or (self.more_body and not self.body):
+            self.keep_alive = False
+        parts = [STATUS_LINE[status]]
+        for name, value in headers:
+            parts += (name, b": ", value, b"\r\n")
+        # aiohttp's parser is lenient about values; a line break in one would split the response.
+        block = b"".join(parts)
+        if block.count(b"\n") != len(headers) + 1 or block.count(b"\r") != len(headers) + 1:
+            raise ValueError("a response header contains a line break")
+        if self.keep_alive:
+            return [block, b"\r\n"]
+        return [block, b"connection: close\r\n\r\n"]
+
+    def _frame(self, chunk: bytes) -> tuple[bytes, ...]:
+        if self._chunked:
+            return (b"%x\r\n" % len(chunk), chunk, b"\r\n")
+        return (chunk,)
+
+    async def _drain(self) -> None:
+        self.blocked_since = self.protocol.loop.time()
+        try:
+            await self.flow.drain()
+        finally:
+            self.blocked_since = None
+
+    def _complete(self) -> None:
+        self.response_complete = True
+        self.message_event.set()
+        if not self.keep_alive:
+            self.protocol.close_after_response()
+        self.on_response()
--- /dev/null
+++ b/anviltray/callers/_forward.py
@@ -0,0 +1,85 @@
+"""Forwards an unrepeatable request to the node that issued its identifier."""
+
+import asyncio
+
+from anviltray.callers._call import Call
+from anviltray.callers._context import CallerContext
+from anviltray.callers._head import DEADLINE_HEADER, FORWARDED_HEADER, REQUEST_ID_HEADER
+from anviltray.callers._problems import OUTCOME_HEADER, Problem
+from anviltray.callers._relay import add_length
+from anviltray.upstreams import SilentObserver, UpstreamError, UpstreamRequest, UpstreamResponse
+
+# The other node answers by the deadline; its answer gets this time for the way back.
+RETURN_S = 0.25
+
+_GONE = Problem(
+    502,
+    "issuer-unreachable",
+    "the node that issued the identifier cannot be asked; the request was not run here",
+    "unknown",
+)
+
+_OBSERVER = SilentObserver()
+
+
+async def forward(context: CallerContext, call: Call, address: str | None) -> None:
+    """Answers with the response of the node at `address`.
+
+    Any failure is `unknown`: an earlier request with the identifier may have run there.
+    """
+    call.may_have_run = True
+    # Two nodes that each take the other for the issuer must not send a request back and forth.
+    if address is None or call.head.forwarded:
+        call.respond_problem(_GONE, context.shutting_down)
+        return
+    await call.body.read_short()
+    loop = asyncio.get_running_loop()
+    timer = loop.call_at(call.deadline_s + RETURN_S, call.expire)
+    response: UpstreamResponse | None = None
+    try:
+        request = _request(context, call, call.deadline_s - loop.time())
+        response = await context.upstreams.send(address, request, _OBSERVER)
+        await _copy(context, call, response)
+    except UpstreamError:
+        if call.body.error is not None:
+            raise call.body.error from None
+        call.respond_problem(_GONE, context.shutting_down)
+    except asyncio.CancelledError:
+        if not call.take_time_out():
+            raise
+        call.respond_problem(_GONE, context.shutting_down)
+    finally:
+        timer.cancel()
+        if response is not None:
+            response.close()
+
+
+def _request(context: CallerContext, call: Call, remaining_s: float) -> UpstreamRequest:
+    head, body = call.head, call.body
+    source = body.source()
+    headers = [
+        *head.headers,
+        (REQUEST_ID_HEADER.decode(), head.request_id or ""),
+        (DEADLINE_HEADER.decode(), str(max(1, int(remaining_s * 1000)))),
+        (FORWARDED_HEADER.decode(), context.settings.node),
+    ]
+    if source is not None and not isinstance(source, bytes) and not body.chunked:
+        headers.append(("Content-Length", str(body.length)))
+    return UpstreamRequest(head.method, head.target, headers, source, body.chunked, True)
+
+
+async def _copy(context: CallerContext, call: Call, response: UpstreamResponse) -> None:
+    exchange, headers = call.exchange, response.headers
+    call.status = response.status
+    chunk = await response.read_chunk()
+    if response.at_end:
+        add_length(call.head.method, response.status, headers, len(chunk))
+        exchange.respond(response.status, headers, chunk, context.shutting_down)
+    else:
+        await exchange.begin(response.status, headers, chunk, context.shutting_down)
+        while chunk := await response.read_chunk():
+            await exchange.write(chunk)
+        exchange.end()
+    outcomes = dict(response.headers)
+    call.done = outcomes.get(OUTCOME_HEADER) == b"done"
+    call.may_have_run = outcomes.get(OUTCOME_HEADER) != b"not-run"
--- /dev/null
+++ b/anviltray/callers/_head.py
@@ -0,0 +1,159 @@
+"""Reads the head of a caller's request in one pass over its headers."""
+
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from anviltray.callers._problems import InputError, Problem
+from anviltray.settings import CallerSettings
+from anviltray.upstreams import HOP_BY_HOP, Dialect, nominated
+
+REQUEST_ID_HEADER = b"anviltray-request-id"
+DEADLINE_HEADER = b"anviltray-deadline-ms"
+FORWARDED_HEADER = b"anviltray-forwarded"
+
+# A deadline beyond this is cut, so that no request holds a slot and a connection for days.
+DEADLINE_LIMIT_MS = 3_600_000
+REQUEST_ID_LIMIT = 256
+
+_OWN = frozenset({REQUEST_ID_HEADER, DEADLINE_HEADER, FORWARDED_HEADER})
+_EXPECT = frozenset({b"expect", b"host", b"content-length"})
+
+
+class RequestHead(NamedTuple):
+    """Head of a request as the dispatcher needs it."""
+
+    method: str  # HTTP method.
+    target: str  # Path and query as they go to the upstream.
+    path: str  # Path without escapes, for routes and rules.
+    host: str  # Value of the Host header.
+    headers: list[tuple[str, str]]  # End-to-end headers including Host.
+    content_length: int  # Bytes of the body, 0 if there is none, -1 if it is chunked.
+    request_id: str | None  # Identifier that the caller gave.
+    deadline_s: float  # Time that the caller waits.
+    forwarded: bool  # Another node sent the request here.
+
+
+class HeadReader:
+    """Reads heads with the limits and header names of one node."""
+
+    def __init__(self, settings: CallerSettings, dialect: Dialect) -> None:
+        self._special = HOP_BY_HOP | _OWN | _EXPECT | dialect.reserved_request_headers
+        self._body_limit = settings.body_limit_bytes
+        self._default_deadline_s = settings.default_deadline_s
+
+    def read(self, scope: Any) -> RequestHead:
+        """Returns the head of an ASGI scope; raises InputError."""
+        special = self._special
+        headers: list[tuple[str, str]] = []
+        found: list[tuple[bytes, bytes]] = []
+        try:
+            for name, value in scope["headers"]:
+                if name in special:
+                    found.append((name, value))
+                else:
+                    headers.append((name.decode("ascii"), value.decode()))
+            return self._build(scope, headers, found)
+        except UnicodeDecodeError:
+            # aiohttp writes headers as UTF-8; other bytes would reach the upstream altered.
+            raise bad_request("a header is not valid UTF-8") from None
+
+    def _build(
+        self, scope: Any, headers: list[tuple[str, str]], found: Sequence[tuple[bytes, bytes]]
+    ) -> RequestHead:
+        host: bytes | None = None
+        length = 0
+        request_id: str | None = None
+        deadline_s = self._default_deadline_s
+        forwarded = False
+        removed: frozenset[bytes] = frozenset()
+        for name, value in found:
+            if name == b"host":
+                if host is not None:
+                    raise bad_request("there are several Host headers")
+                host = value
+            elif name == b"content-length":
+                length = self._length(value)
+            elif name == b"transfer-encoding":
+                if value.lower() != b"chunked":
+                    raise InputError(
+                        Problem(501, "not-implemented", "only chunked is decoded", close=True)
+                    )
+                length = -1
+            elif name == b"connection":
+                removed |= nominated(value)
+            elif name == DEADLINE_HEADER:
+                deadline_s = _deadline_s(value)
+            elif name == REQUEST_ID_HEADER:
+                request_id = _request_id(value, request_id)
+            elif name == FORWARDED_HEADER:
+                forwarded = True
+        if not host:
+            raise bad_request("there is no Host header")
+        headers.append(("Host", host.decode()))
+        if removed:
+            headers = [field for field in headers if field[0].encode() not in removed]
+        raw_path, query = scope["raw_path"], scope["query_string"]
+        if b"%" in raw_path or b"/." in raw_path or b"\\" in raw_path:
+            _check_path(raw_path, scope["path"])
+        target = raw_path if not query else raw_path + b"?" + query
+        return RequestHead(
+            scope["method"],
+            target.decode("ascii"),
+            scope["path"],
+            host.decode("ascii"),
+            headers,
+            length,
+            request_id,
+            deadline_s,
+            forwarded,
+        )
+
+    def _length(self, value: bytes) -> int:
+        if not value.isdigit():
+            raise bad_request("Content-Length is not a number")
+        length = int(value)
+        if length > self._body_limit:
+            raise too_large(self._body_limit)
+        return length
+
+
+def bad_request(detail: str) -> InputError:
+    """Returns the error for a request that breaks the protocol."""
+    return InputError(Problem(400, "bad-request", detail, close=True))
+
+
+def too_large(limit_bytes: int) -> InputError:
+    """Returns the error for a body above the limit."""
+    return InputError(
+        Problem(413, "body-too-large", f"the body is larger than {limit_bytes} bytes", close=True)
+    )
+
+
+def _deadline_s(value: bytes) -> float:
+    if not value.isdigit() or len(value) > 12:
+        raise bad_request("Anviltray-Deadline-Ms is not a whole number of milliseconds")
+    return min(int(value), DEADLINE_LIMIT_MS) / 1000
+
+
+def _request_id(value: bytes, previous: str | None) -> str:
+    if previous is not None:
+        raise bad_request("there are several Anviltray-Request-Id headers")
+    text = value.decode("ascii")
+    if not text or len(text) > REQUEST_ID_LIMIT or not text.isprintable() or " " in text:
+        raise bad_request("Anviltray-Request-Id is not an identifier")
+    return text
+
+
+def _check_path(raw_path: bytes, path: str) -> None:
+    """Refuses paths that an upstream may resolve to another one than the routes and rules see.
+
+    Otherwise a request that is unrepeatable at the upstream could match the rule of a repeatable
+    one.
+    """
+    lowered = raw_path.lower()
+    if b"%2f" in lowered or b"%5c" in lowered or b"\\" in lowered or b"%25" in lowered:
+        raise bad_request("the path contains an escaped separator")
+    if any(segment in (".", "..") for segment in path.split("/")):
+        raise bad_request("the path contains a dot segment")
+    if not path.isprintable():
+        raise bad_request("the path contains a control character")
--- /dev/null
+++ b/anviltray/callers/_problems.py
@@ -0,0 +1,54 @@
+"""Problem documents (RFC 9457) that tell the caller truthfully whether its request was run."""
+
+import json
+from typing import NamedTuple
+
+from anviltray.callers._context import Outcome
+
+CONTENT_TYPE = b"application/problem+json"
+OUTCOME_HEADER = b"anviltray-outcome"
+
+
+class Problem(NamedTuple):
+    """A response that the node generates itself."""
+
+    status: int  # HTTP status.
+    name: str  # Last part of the problem type.
+    detail: str  # What happened, in one sentence.
+    outcome: Outcome = "not-run"  # Whether the request was run.
+    retry_after_s: int | None = None  # Retry-After in whole seconds.
+    close: bool = False  # The connection cannot be used afterwards.
+
+
+class InputError(Exception):
+    """The caller's request cannot be read to its end; carries the problem to answer with."""
+
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(problem.detail)
+        self.problem = problem
+
+
+def problem_body(problem: Problem, request_id: str | None = None) -> bytes:
+    """Returns the JSON document of a problem."""
+    document: dict[str, object] = {
+        "type": f"urn:anviltray:problem:{problem.name}",
+        "title": problem.name.replace("-", " "),
+        "status": problem.status,
+        "detail": problem.detail,
+        "outcome": problem.outcome,
+    }
+    if request_id is not None:
+        document["request_id"] = request_id
+    return json.dumps(document).encode()
+
+
+def problem_headers(problem: Problem, body: bytes) -> list[tuple[bytes, bytes]]:
+    """Returns the headers of a problem document."""
+    headers = [
+        (b"content-type", CONTENT_TYPE),
+        (b"content-length", str(len(body)).encode()),
+        (OUTCOME_HEADER, problem.outcome.encode()),
+    ]
+    if problem.retry_after_s is not None:
+        headers.append((b"retry-after", str(problem.retry_after_s).encode()))
+    return headers
--- /dev/null
+++ b/anviltray/callers/_relay.py
@@ -0,0 +1,102 @@
+"""Copies the response of an upstream to the caller."""
+
+import asyncio
+
+from anviltray.callers._attempt import Attempt
+from anviltray.callers._call import Call
+from anviltray.callers._context import CallerContext
+from anviltray.callers._head import REQUEST_ID_HEADER
+from anviltray.callers._problems import OUTCOME_HEADER, Problem
+from anviltray.decisions import ExchangeOutcome
+from anviltray.upstreams import UpstreamError, UpstreamResponse
+
+_CUT_SHORT = Problem(502, "response-cut-short", "the response of the upstream was cut short")
+_TIMED_OUT = Problem(504, "deadline-passed", "the deadline passed without a whole response")
+
+_DONE = (OUTCOME_HEADER, b"done")
+
+
+async def relay(
+    context: CallerContext, call: Call, attempt: Attempt, response: UpstreamResponse
+) -> Problem | None:
+    """Copies a response; returns a problem if it failed before the caller got any of it."""
+    exchange = call.exchange
+    call.status = response.status
+    timer = asyncio.get_running_loop().call_at(call.deadline_s, call.expire)
+    try:
+        await _copy(context, call, attempt, response)
+        return None
+    except UpstreamError:
+        attempt.ended(ExchangeOutcome.BROKEN)
+        failure = _CUT_SHORT
+    except asyncio.CancelledError:
+        call.may_have_run = True
+        if not call.take_time_out():
+            attempt.ended(ExchangeOutcome.ABANDONED)
+            raise
+        # A caller that does not read delays the upstream, which is no evidence against it.
+        attempt.ended(ExchangeOutcome.ABANDONED if call.blocked else ExchangeOutcome.TIMED_OUT)
+        failure = _TIMED_OUT
+    finally:
+        timer.cancel()
+        response.close()
+    call.may_have_run = True
+    if exchange.response_started:
+        exchange.abort()
+        return None
+    return failure
+
+
+async def _copy(
+    context: CallerContext, call: Call, attempt: Attempt, response: UpstreamResponse
+) -> None:
+    exchange = call.exchange
+    status, headers = response.status, response.headers
+    headers.append(_DONE)
+    if call.rule is None and call.request_id is not None:
+        headers.append((REQUEST_ID_HEADER, call.request_id.encode()))
+    close = context.shutting_down
+    ended = ExchangeOutcome.SERVER_ERROR if status >= 500 else ExchangeOutcome.OK
+    chunk = await response.read_chunk()
+    if response.at_end:
+        attempt.ended(ended)
+        call.done = True
+        if call.rule is None:
+            _store(context, call, response, chunk)
+        add_length(call.head.method, status, headers, len(chunk))
+        exchange.respond(status, headers, chunk, close)
+        return
+    limit = context.settings.attempts.replay_limit_bytes if call.rule is None else 0
+    kept: bytearray | None = bytearray()
+    await exchange.begin(status, headers, chunk, close)
+    while chunk:
+        if kept is not None:
+            kept = kept + chunk if len(kept) + len(chunk) <= limit else None
+        chunk = await response.read_chunk()
+        if chunk:
+            await exchange.write(chunk)
+    attempt.ended(ended)
+    call.done = True
+    if call.rule is None:
+        _store(context, call, response, None if kept is None else bytes(kept))
+    exchange.end()
+
+
+def add_length(
+    method: str, status: int, headers: list[tuple[bytes, bytes]], length_bytes: int
+) -> None:
+    """Adds Content-Length to the headers of a whole response that came without it."""
+    if method == "HEAD" or status in (204, 304):
+        return
+    if not any(name == b"content-length" for name, _ in headers):
+        headers.append((b"content-length", b"%d" % length_bytes))
+
+
+def _store(
+    context: CallerContext, call: Call, response: UpstreamResponse, body: bytes | None
+) -> None:
+    """Keeps a short response, so that a duplicate of the request gets it."""
+    if body is None or len(body) > context.settings.attempts.replay_limit_bytes:
+        return
+    headers = tuple(field for field in response.headers if field[0] != b"content-length")
+    call.stored = context.stored_response(response.status, headers, body)
--- /dev/null
+++ b/anviltray/callers/_server.py
@@ -0,0 +1,106 @@
+"""Serves callers with uvicorn until it is told to stop."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable, Iterator
+
+import uvicorn
+
+from anviltray.callers._application import CallerApplication
+from anviltray.callers._protocol import CallerProtocol, protocol_class
+from anviltray.settings import CallerSettings
+
+# Pause between two checks of the time limits of connections.
+CHECK_INTERVAL_S = 0.25
+BACKLOG = 2048
+
+
+class _Server(uvicorn.Server):
+    """uvicorn's server without its signal handlers, which belong to the node."""
+
+    def __init__(self, config: uvicorn.Config, on_started: Callable[[], None]) -> None:
+        super().__init__(config)
+        self._on_started = on_started
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Starts to accept connections."""
+        await super().startup(sockets)
+        self._on_started()
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Captures nothing."""
+        yield
+
+
+def bind(address: str) -> socket.socket:
+    """Returns a listening socket for "IP:port"; raises OSError."""
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host.strip("[]"), int(port)))
+        listener.listen(BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    listener.setblocking(False)
+    return listener
+
+
+async def serve(
+    application: CallerApplication,
+    settings: CallerSettings,
+    listener: socket.socket,
+    stop: asyncio.Event,
+    on_started: Callable[[], None] = lambda: None,
+) -> None:
+    """Serves on `listener` until `stop` is set, then ends without cutting a request.
+
+    Before it sets `stop`, the node has announced its shutdown (`context.shutting_down`) and has
+    waited for the lifetime of its ask responses. The listener is closed at once, idle connections
+    after a short grace, the others behind their last response.
+    """
+    config = uvicorn.Config(
+        application,
+        loop="asyncio",
+        http=protocol_class(settings),
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        backlog=BACKLOG,
+        timeout_graceful_shutdown=None,
+    )
+    config.load()
+    # uvicorn wraps the application only for options that are off here.
+    config.loaded_app = application
+    server = _Server(config, on_started)
+    checks = asyncio.create_task(_check(server, application))
+    serving = asyncio.create_task(server.serve([listener]))
+    stopping = asyncio.create_task(stop.wait())
+    try:
+        await asyncio.wait({serving, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        server.should_exit = True
+        await serving
+    finally:
+        for task in (checks, stopping):
+            task.cancel()
+        if not serving.done():
+            serving.cancel()
+        await asyncio.gather(checks, stopping, serving, return_exceptions=True)
+
+
+async def _check(server: uvicorn.Server, application: CallerApplication) -> None:
+    loop = asyncio.get_running_loop()
+    while True:
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        now = loop.time()
+        for connection in list(server.server_state.connections):
+            if isinstance(connection, CallerProtocol):
+                connection.check_times(now)
+        application.dispatcher.expire_queued()
--- /dev/null
+++ b/anviltray/callers/tests/support.py
@@ -0,0 +1,414 @@
+"""Fakes of the decision objects, a scripted upstream and a raw caller for the tests."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+from typing import NamedTuple
+
+from anviltray.callers import bind, create_application, serve
+from anviltray.decisions import RoutableSet, RoutableUpstream
+from anviltray.declarations import build_service
+from anviltray.settings import build_settings
+from anviltray.upstreams import UpstreamClient
+
+
+class Admitted(NamedTuple):
+    pass
+
+
+class Queued(NamedTuple):
+    pass
+
+
+class Refused(NamedTuple):
+    retry_after_s: float
+
+
+class Start(NamedTuple):
+    request_id: str
+
+
+class InProgress(NamedTuple):
+    pass
+
+
+class Replay(NamedTuple):
+    response: object
+
+
+class Known(NamedTuple):
+    outcome: str
+
+
+class Forward(NamedTuple):
+    node: str
+    incarnation: str
+
+
+class Refuse(NamedTuple):
+    reason: str
+
+
+class Expired(NamedTuple):
+    pass
+
+
+class Stored(NamedTuple):
+    status: int
+    headers: tuple
+    body: bytes
+
+
+class FakeBoard:
+    def __init__(self):
+        self.events = []
+        self.outcomes = []
+        self.addresses = ()
+
+    def started(self, now_s, service, address, fresh_connection):
+        self.events.append(("started", address, fresh_connection))
+        return len(self.events)
+
+    def first_byte(self, now_s, exchange):
+        self.events.append(("first_byte", exchange))
+
+    def ended(self, now_s, exchange, outcome):
+        self.outcomes.append(outcome.value)
+
+    def warming(self, now_s, address):
+        self.events.append(("warming", address))
+
+    def routable(self, service):
+        upstreams = [RoutableUpstream(a, "viti", "viti-a", 6, 1.0) for a in self.addresses]
+        return RoutableSet(1, service, tuple(upstreams))
+
+
+class FakeLoads:
+    def __init__(self):
+        self.outstanding = 0
+        self.reported = []
+
+    def started(self, address):
+        self.outstanding += 1
+
+    def ended(self, now_s, address, latency_s, reported_load):
+        self.outstanding -= 1
+        self.reported.append(reported_load)
+
+
+class FakeRouter:
+    def choose(self, routable, now_s, exclude, unrepeatable, size_bytes):
+        for upstream in routable.upstreams:
+            if upstream.address not in exclude:
+                return upstream
+        return None
+
+
+class FakeAdmission:
+    def __init__(self, slots=1000):
+        self.slots, self.running, self.queue, self.outcomes = slots, 0, [], []
+        self.refusing = False
+
+    def arrive(self, now_s, caller, deadline_s, ticket):
+        if self.refusing:
+            return Refused(0.5)
+        if self.running < self.slots:
+            self.running += 1
+            return Admitted()
+        self.queue.append((deadline_s, ticket))
+        return Queued()
+
+    def finished(self, now_s, ticket, latency_s, outcome):
+        self.outcomes.append(outcome.value)
+        if self.queue:
+            return (self.queue.pop(0)[1],)
+        self.running -= 1
+        return ()
+
+    def expire(self, now_s):
+        late = tuple(ticket for deadline_s, ticket in self.queue if deadline_s <= now_s)
+        self.queue = [entry for entry in self.queue if entry[0] > now_s]
+        return late
+
+
+class FakeBudget:
+    allowed = 1000
+
+    def request(self, now_s):
+        pass
+
+    def take(self, now_s):
+        self.allowed -= 1
+        return self.allowed >= 0
+
+
+class FakeAttempts:
+    """Remembers everything; identifiers look like `node.incarnation.epoch.suffix`."""
+
+    def __init__(self, node):
+        self.node, self.rows, self.numbers = node, {}, itertools.count()
+
+    def prefix(self, now_s):
+        return f"{self.node}.1.0."
+
+    def arrive(self, now_s, request_id):
+        if request_id is None:
+            request_id = f"{self.prefix(now_s)}auto{next(self.numbers)}"
+        node, _, _ = request_id.partition(".")
+        if request_id.count(".") < 3:
+            return Refuse("the identifier was not issued by a node")
+        if node != self.node:
+            return Forward(node, "1")
+        row = self.rows.get(request_id)
+        if row is None:
+            self.rows[request_id] = ("running", None)
+            return Start(request_id)
+        if row[0] == "running":
+            return InProgress()
+        return Replay(row[1]) if row[1] is not None else Known(row[0])
+
+    def finish(self, now_s, request_id, outcome, response):
+        self.rows[request_id] = (outcome, response)
+
+
+class FakeLeaving:
+    def __init__(self):
+        self.addresses = set()
+
+    def from_answer(self, now_s, address):
+        self.addresses.add(address)
+
+
+SERVICE = build_service(
+    {
+        "name": "keeper-desk",
+        "upstreams": [],
+        "routes": [{"prefix": "/"}],
+        "retry_rules": [{"methods": ["GET", "HEAD", "PUT"], "prefix": "/levels", "attempts": 3}],
+    }
+)
+
+
+def make_settings(callers=None, upstreams=None, node="n1"):
+    return build_settings(
+        {
+            "node": node,
+            "region": "viti",
+            "zone": "viti-a",
+            "caller_address": "127.0.0.1:1",
+            "peer_address": "127.0.0.1:2",
+            "operator_address": "127.0.0.1:3",
+            "platform": {"kind": "memory"},
+            "callers": callers or {},
+            "upstreams": upstreams or {},
+        }
+    )
+
+
+class FakeContext:
+    def __init__(self, settings):
+        self.settings = settings
+        self.upstreams = UpstreamClient(settings.upstreams)
+        self.board, self.loads, self.leaving = FakeBoard(), FakeLoads(), FakeLeaving()
+        self.attempts = FakeAttempts(settings.node)
+        self.the_admission, self.budget = FakeAdmission(), FakeBudget()
+        self.shutting_down, self.reasons, self.nodes = False, (), {}
+        self.completions, self.counted = [], []
+
+    def route(self, host, path):
+        return SERVICE if not self.reasons and not path.startswith("/nowhere") else None
+
+    def rule_for(self, service, method, path):
+        for rule in service.retry_rules:
+            if method in rule.methods and path.startswith(rule.prefix):
+                return rule
+        return None
+
+    def rule_for_head(self, head):
+        method, target = head.split()
+        return self.rule_for(SERVICE, method, target)
+
+    def router(self, service):
+        return FakeRouter()
+
+    def admission(self, service):
+        return self.the_admission
+
+    def retry_budget(self, service):
+        return self.budget
+
+    def stored_response(self, status, headers, body):
+        return Stored(status, headers, body)
+
+    def members(self):
+        return ()
+
+    def entry_addresses(self, members, service, region, caller, count):
+        return ("127.0.0.1:1",)
+
+    def has_service(self, service):
+        return service == SERVICE.name
+
+    def node_address(self, node, incarnation):
+        return self.nodes.get(node)
+
+    def not_ready(self):
+        return self.reasons
+
+    def completed(self, service, status, latency_s, outcome):
+        self.completions.append((status, outcome))
+
+    def count(self, event):
+        self.counted.append(event)
+
+
+class Node:
+    """A served application with its fakes."""
+
+    def __init__(self, callers=None, upstreams=None, node="n1"):
+        self.settings = make_settings(callers, upstreams, node)
+        self.stop = asyncio.Event()
+
+    async def __aenter__(self):
+        self.context = FakeContext(self.settings)
+        listener = bind("127.0.0.1:0")
+        self.address = f"127.0.0.1:{listener.getsockname()[1]}"
+        started = asyncio.Event()
+        application = create_application(self.context)
+        self.serving = asyncio.create_task(
+            serve(application, self.settings.callers, listener, self.stop, started.set)
+        )
+        await asyncio.wait_for(started.wait(), 5)
+        return self
+
+    async def __aexit__(self, *error):
+        self.stop.set()
+        if error[0] is None:
+            await asyncio.wait_for(self.serving, 10)
+        else:
+            self.serving.cancel()
+        await self.context.upstreams.close()
+
+    async def call(self, head, body=b"", **headers):
+        return await call(self.address, head, body, **headers)
+
+
+class Upstream:
+    """A raw server; `answer(request, writer)` writes a response for each request."""
+
+    def __init__(self, answer, host="127.0.0.1"):
+        self.answer, self.host = answer, host
+        self.requests, self.connections, self.open = [], 0, 0
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self._accept, self.host, 0)
+        self.address = f"{self.host}:{self.server.sockets[0].getsockname()[1]}"
+        self.tasks = set()
+        return self
+
+    async def __aexit__(self, *error):
+        self.server.close()
+        for task in self.tasks:
+            task.cancel()
+
+    async def _accept(self, reader, writer):
+        self.connections += 1
+        self.open += 1
+        self.tasks.add(asyncio.current_task())
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                request = await read_request(reader)
+                self.requests.append(request)
+                if await self.answer(request, writer) is False:
+                    break
+        self.open -= 1
+        writer.close()
+
+
+class Request(NamedTuple):
+    line: str
+    headers: dict
+    body: bytes
+
+
+def parse_fields(lines):
+    fields = (line.split(": ", 1) for line in lines if line)
+    return {name.lower(): value for name, value in fields}
+
+
+async def read_request(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    headers = parse_fields(head[1:])
+    return Request(head[0], headers, await read_body(reader, headers))
+
+
+async def read_body(reader, headers):
+    if "chunked" in headers.get("transfer-encoding", ""):
+        body = b""
+        while size := int(await reader.readline(), 16):
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+        return body
+    return await reader.readexactly(int(headers.get("content-length", 0)))
+
+
+class Response(NamedTuple):
+    status: int
+    headers: dict
+    body: bytes
+
+
+async def read_response(reader, method="GET"):
+    """Returns a whole response; raises IncompleteReadError or ConnectionError for a cut one."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    headers = parse_fields(head[1:])
+    status = int(head[0].split()[1])
+    bodiless = method == "HEAD" or status in (204, 304)
+    return Response(status, headers, b"" if bodiless else await read_body(reader, headers))
+
+
+async def call(address, head, body=b"", **headers):
+    """Sends `head` ("GET /path") on a new connection and returns the response."""
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(encode(head, body, **headers))
+        return await asyncio.wait_for(read_response(reader, head.split()[0]), 15)
+    finally:
+        writer.close()
+
+
+def encode(head, body=b"", **headers):
+    lines = [f"{head} HTTP/1.1", "Host: keeper.example"]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def ok(body=b"fine", headers=""):
+    """Returns an answer function with a fixed response."""
+
+    async def answer(request, writer):
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n{headers}\r\n"
+        writer.write(head.encode() + (b"" if request.line.startswith("HEAD") else body))
+        await writer.drain()
+
+    return answer
+
+
+def raw(data, then_close=True):
+    """Returns an answer function that writes these bytes."""
+
+    async def answer(request, writer):
+        writer.write(data)
+        await writer.drain()
+        return not then_close
+
+    return answer
+
+
+def seeded(seed):
+    return random.Random(seed)
--- /dev/null
+++ b/anviltray/upstreams/_client.py
@@ -0,0 +1,321 @@
+"""Sends requests to upstreams over pooled connections."""
+
+import asyncio
+from collections.abc import AsyncIterable, Iterable
+from typing import NamedTuple, Protocol
+
+from aiohttp import (
+    ClientError,
+    ClientRequest,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    DummyCookieJar,
+    hdrs,
+)
+from aiohttp.client_reqrep import ConnectionKey
+from aiohttp.connector import Connection
+from aiohttp.http import HttpProcessingError
+from multidict import CIMultiDict
+from yarl import URL
+
+from anviltray.settings import UpstreamSettings
+from anviltray.upstreams._connector import UpstreamConnector
+from anviltray.upstreams._dialect import NO_SIGNALS, Dialect, Signals
+from anviltray.upstreams._errors import (
+    ConnectFailed,
+    ConnectionsExhausted,
+    ExchangeBroken,
+    InvalidResponse,
+    UpstreamError,
+)
+from anviltray.upstreams._fields import HOP_BY_HOP, nominated
+
+# Bytes of one response that are buffered before its connection is no longer read.
+READ_BUFFER_BYTES = 65536
+# The upstream's response head may be as large as the largest request head by default.
+FIELD_LIMIT_BYTES = 32768
+FIELD_LIMIT_COUNT = 256
+
+_FAILURES = (ClientError, OSError, HttpProcessingError, asyncio.TimeoutError)
+
+
+class UpstreamRequest(NamedTuple):
+    """One request to an upstream."""
+
+    method: str  # HTTP method.
+    target: str  # Path and query as they go on the wire.
+    headers: Iterable[tuple[str, str]]  # Header fields without those of the connection.
+    body: bytes | AsyncIterable[bytes] | None = None  # Whole or streamed body.
+    chunked: bool = False  # The length of a streamed body is not in the headers.
+    unrepeatable: bool = False  # Uses no connection that was idle for long.
+    fresh: bool = False  # Uses a new connection in any case.
+
+
+class ExchangeObserver(Protocol):
+    """Hears of the phases of one exchange while it runs.
+
+    An observer that heard nothing of `writing` knows that no byte was written, also if the exchange
+    is cancelled.
+    """
+
+    def connection(self, fresh: bool) -> None:
+        """A connection is chosen, or a new one is about to be opened."""
+
+    def writing(self) -> None:
+        """The first byte of the request is about to be written."""
+
+    def first_byte(self) -> None:
+        """The head of the response has arrived."""
+
+
+class SilentObserver:
+    """Ignores the phases."""
+
+    def connection(self, fresh: bool) -> None:
+        """See ExchangeObserver."""
+
+    def writing(self) -> None:
+        """See ExchangeObserver."""
+
+    def first_byte(self) -> None:
+        """See ExchangeObserver."""
+
+
+class UpstreamResponse:
+    """The head of a response and its body, which is read once.
+
+    The connection returns to the pool after the last byte; `close` before that closes it, so late
+    bytes cannot reach another exchange.
+    """
+
+    __slots__ = ("_response", "headers", "signals", "status")
+
+    def __init__(
+        self, response: ClientResponse, headers: list[tuple[bytes, bytes]], signals: Signals
+    ) -> None:
+        self._response = response
+        self.status = response.status
+        self.headers = headers  # Names in lower case, without fields of the connection.
+        self.signals = signals
+
+    @property
+    def at_end(self) -> bool:
+        """Tells whether the whole body has arrived and was read."""
+        return self._response.content.at_eof()
+
+    async def read_chunk(self) -> bytes:
+        """Returns the next bytes of the body, empty at its end; raises ExchangeBroken."""
+        try:
+            return await self._response.content.readany()
+        except _FAILURES as error:
+            raise ExchangeBroken(f"the response body was cut short: {error}") from error
+
+    async def read(self, limit_bytes: int) -> bytes:
+        """Returns the whole body; raises InvalidResponse above the limit and ExchangeBroken."""
+        body = bytearray()
+        while chunk := await self.read_chunk():
+            body += chunk
+            if len(body) > limit_bytes:
+                raise InvalidResponse(f"the response body is larger than {limit_bytes} bytes")
+        return bytes(body)
+
+    def close(self) -> None:
+        """Ends the exchange; closes the connection unless the body was received whole."""
+        if not self._response.closed:
+            self._response.close()
+
+
+class _Request(ClientRequest):
+    """A request that is sent as given, without the defaults of a user agent."""
+
+    _skip_auto_headers = CIMultiDict({hdrs.CONTENT_TYPE: None})
+
+    def update_auto_headers(self, skip_auto_headers: Iterable[str] | None) -> None:
+        """Adds no user agent and no content negotiation of its own."""
+
+
+class UpstreamClient:
+    """Client for all upstreams of a node; it must be created in the event loop.
+
+    Example: `response = await client.send("10.0.0.1:80", UpstreamRequest("GET", "/a", ()))`, then
+    `await response.read_chunk()` until it is empty, and `response.close()` in any case.
+    """
+
+    def __init__(self, settings: UpstreamSettings) -> None:
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self.dialect = Dialect(settings)
+        self._connector = UpstreamConnector(settings.idle_limit_s, settings.instance_connections)
+        self._session = ClientSession(
+            connector=self._connector, cookie_jar=DummyCookieJar(), auto_decompress=False
+        )
+        # aiohttp would resend GET, HEAD, PUT and DELETE by itself when a reused connection drops.
+        self._session._retry_connection = False
+        self._connect_timeout = ClientTimeout(
+            total=None,
+            connect=settings.connect_timeout_s,
+            sock_connect=settings.connect_timeout_s,
+            ceil_threshold=settings.connect_timeout_s + 1,
+        )
+        self._keys: dict[str, ConnectionKey] = {}
+
+    def set_nodes(self, count: int) -> None:
+        """Divides the connections of an instance among that many nodes."""
+        share = self._settings.instance_connections // max(1, count)
+        self._connector.connections_per_instance = max(1, share)
+
+    def retire_idle(self, address: str) -> None:
+        """After a stall: lets a new connection decide whether the upstream itself is dead."""
+        self._connector.retire_idle(self._key(address))
+
+    def open_connections(self, address: str) -> int:
+        """Returns the number of connections to an instance."""
+        return self._connector.open_connections(self._key(address))
+
+    async def send(
+        self, address: str, request: UpstreamRequest, observer: ExchangeObserver
+    ) -> UpstreamResponse:
+        """Sends a request and returns when the head of the response has arrived.
+
+        Raises UpstreamError with `written`. When cancelled it closes the connection; the observer
+        knows whether a byte was written.
+        """
+        message = _Request(
+            request.method,
+            URL(f"http://{address}{request.target}", encoded=True),
+            headers=request.headers,
+            data=request.body,
+            chunked=request.chunked or None,
+            loop=self._loop,
+            session=self._session,
+        )
+        connection = await self._connect(address, message, request, observer)
+        protocol = connection.protocol
+        if protocol is None or not protocol.is_connected():
+            connection.close()
+            raise ConnectFailed(f"{address}: the connection closed before use")
+        protocol.set_response_params(
+            skip_payload=request.method == "HEAD",
+            read_until_eof=True,
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
+            max_line_size=FIELD_LIMIT_BYTES,
+            max_field_size=FIELD_LIMIT_BYTES,
+            max_headers=FIELD_LIMIT_COUNT,
+        )
+        observer.writing()
+        response: ClientResponse | None = None
+        try:
+            response = await message.send(connection)
+            await response.start(connection)
+            observer.first_byte()
+            return self._wrap(request.method, response)
+        except BaseException as error:
+            if response is not None:
+                response.close()
+            connection.close()
+            if isinstance(error, _FAILURES):
+                raise ExchangeBroken(f"{address}: {error or type(error).__name__}") from error
+            raise
+
+    async def _connect(
+        self,
+        address: str,
+        message: ClientRequest,
+        request: UpstreamRequest,
+        observer: ExchangeObserver,
+    ) -> Connection:
+        key = self._key(address)
+        settings = self._settings
+        if not request.fresh:
+            limit = settings.idle_limit_s
+            if request.unrepeatable:
+                limit = min(limit, settings.unrepeatable_idle_limit_s)
+            connection = self._connector.take(key, limit)
+            if connection is not None:
+                observer.connection(False)
+                return connection
+        if not self._connector.has_room(key):
+            raise ConnectionsExhausted(f"{address}: all connections of this node are in use")
+        observer.connection(True)
+        try:
+            return await self._connector.open(message, key, self._connect_timeout)
+        except _FAILURES as error:
+            raise ConnectFailed(f"{address}: {error or type(error).__name__}") from error
+
+    def _wrap(self, method: str, response: ClientResponse) -> UpstreamResponse:
+        signal_headers = self.dialect.signal_headers
+        headers: list[tuple[bytes, bytes]] = []
+        found: list[tuple[bytes, bytes]] = []
+        dropped = HOP_BY_HOP
+        framed = False
+        for raw_name, value in response._raw_headers:
+            name = raw_name.lower()
+            if name in signal_headers:
+                found.append((name, value))
+            elif name in dropped:
+                if name == b"connection":
+                    dropped = dropped | nominated(value)
+                elif name == b"transfer-encoding":
+                    framed = value.strip().lower() == b"chunked"
+            else:
+                if name == b"content-length":
+                    framed = True
+                headers.append((name, value))
+        if dropped is not HOP_BY_HOP:
+            headers = [field for field in headers if field[0] not in dropped]
+        status = response.status
+        if status < 200 or status > 599:
+            raise InvalidResponse(f"the upstream answered with status {status}")
+        if not framed and status not in (204, 304) and method != "HEAD":
+            # Without a length, a response that was cut short looks like a whole one.
+            raise InvalidResponse("the response has neither a length nor chunks")
+        signals = self.dialect.signals(status, found) if found else NO_SIGNALS
+        return UpstreamResponse(response, headers, signals)
+
+    async def probe(self, address: str, timeout_s: float) -> bool:
+        """Asks the health endpoint over a new connection; any failure is unhealthy."""
+        request = UpstreamRequest("GET", self.dialect.health_path, (), fresh=True)
+        answer = await self._ask(address, request, timeout_s)
+        return answer is not None and answer[0] == 200
+
+    async def cancel(self, address: str, request_id: str, timeout_s: float) -> bool:
+        """Cancels a request; True only if the upstream confirms that it was not started."""
+        request = UpstreamRequest(
+            "POST",
+            self.dialect.cancel_path,
+            ((self.dialect.request_id_header, request_id),),
+            fresh=True,  # The exchange that is cancelled may have stalled with its connection.
+        )
+        answer = await self._ask(address, request, timeout_s)
+        return answer is not None and self.dialect.confirms_not_started(*answer)
+
+    async def _ask(
+        self, address: str, request: UpstreamRequest, timeout_s: float
+    ) -> tuple[int, bytes] | None:
+        response: UpstreamResponse | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await self.send(address, request, _SILENT)
+                return response.status, await response.read(READ_BUFFER_BYTES)
+        except (UpstreamError, TimeoutError):
+            return None
+        finally:
+            if response is not None:
+                response.close()
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    def _key(self, address: str) -> ConnectionKey:
+        key = self._keys.get(address)
+        if key is None:
+            url = URL(f"http://{address}/")
+            key = ConnectionKey(url.raw_host or "", url.port, False, True, None, None, None)
+            self._keys[address] = key
+        return key
+
+
+_SILENT = SilentObserver()
--- /dev/null
+++ b/anviltray/upstreams/_dialect.py
@@ -0,0 +1,96 @@
+"""What an upstream understands: deadline, identifier, refusal, drain, load, health, cancellation.
+
+Another dialect is another module with the same functions; header names come from the settings.
+"""
+
+import json
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from anviltray.settings import UpstreamSettings
+
+# Answer of the cancel endpoint that proves that the request was not and will not be started.
+NOT_STARTED = "not-started"
+
+
+class Signals(NamedTuple):
+    """What an upstream says about itself in the headers of one response."""
+
+    refused: bool  # The request was refused before it started.
+    draining: bool  # The upstream is leaving.
+    cold: bool  # The upstream is still warming.
+    load: float | None  # Share of its slots in use.
+
+
+NO_SIGNALS = Signals(refused=False, draining=False, cold=False, load=None)
+
+
+class Dialect:
+    """Header names and endpoints of the upstreams, prepared for use per request."""
+
+    def __init__(self, settings: UpstreamSettings) -> None:
+        self.deadline_header = settings.deadline_header
+        self.request_id_header = settings.request_id_header
+        self.health_path = settings.health_path
+        self.cancel_path = settings.cancel_path
+        self._shed = settings.shed_header.lower().encode()
+        self._drain = settings.drain_header.lower().encode()
+        self._load = settings.load_header.lower().encode()
+        self._cold = settings.cold_header.lower().encode()
+        # A caller must not choose the identifier or deadline that the upstream sees, since the
+        # identifier is also the key of a cancellation.
+        self.reserved_request_headers = frozenset(
+            {self.deadline_header.lower().encode(), self.request_id_header.lower().encode()}
+        )
+        # The signals are for the node and are not passed on to the caller.
+        self.signal_headers = frozenset({self._shed, self._drain, self._load, self._cold})
+
+    def request_headers(self, remaining_s: float, request_id: str | None) -> list[tuple[str, str]]:
+        """Returns the headers that carry the remaining time and the identifier."""
+        # A deadline of 0 would mean expired; an attempt that is started has at least 1 ms.
+        headers = [(self.deadline_header, str(max(1, int(remaining_s * 1000))))]
+        if request_id is not None:
+            headers.append((self.request_id_header, request_id))
+        return headers
+
+    def signals(self, status: int, found: Iterable[tuple[bytes, bytes]]) -> Signals:
+        """Returns the signals of a response from those of its headers in `signal_headers`.
+
+        Only a 503 with a shed or drain header is a refusal: any other status may come from a
+        request that ran.
+        """
+        shed = draining = cold = False
+        load: float | None = None
+        for name, value in found:
+            if name == self._load:
+                load = _parse_load(value)
+            elif value.strip().lower() in (b"0", b"false", b"no"):
+                continue
+            elif name == self._shed:
+                shed = True
+            elif name == self._drain:
+                draining = True
+            else:
+                cold = True
+        return Signals(status == 503 and (shed or draining), draining, cold, load)
+
+    def confirms_not_started(self, status: int, body: bytes) -> bool:
+        """Tells whether a cancel answer proves that the request was not and will not be run.
+
+        The answer is a 200 with the JSON object `{"outcome": "not-started"}`.
+        """
+        if status != 200:
+            return False
+        try:
+            answer = json.loads(body)
+        except ValueError:
+            return False
+        return isinstance(answer, dict) and answer.get("outcome") == NOT_STARTED
+
+
+def _parse_load(value: bytes) -> float | None:
+    try:
+        load = float(value)
+    except ValueError:
+        return None
+    return load if 0.0 <= load < 1e6 else None
