--- /dev/null
+++ b/standins/_serving.py
@@ -0,0 +1,210 @@
+"""HTTP server that the stand-ins share, and the reading of control calls."""
+
+import asyncio
+import contextlib
+import signal
+import socket
+from collections.abc import Awaitable, Callable, Iterator, MutableMapping
+from typing import Any, TypeVar
+
+import falcon
+import falcon.asgi
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+_Fields = TypeVar("_Fields", bound=tuple[Any, ...])
+_Scope = MutableMapping[str, Any]
+_Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+_Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+_Application = Callable[[_Scope, _Receive, _Send], Awaitable[None]]
+
+_TRANSPORT = "standins.transport"
+_DISCONNECTED = "standins.disconnected"
+
+
+class _Protocol(HttpToolsProtocol):
+    """Adds a connection limit and gives the application access to its transport."""
+
+    connection_limit = 0
+    connections_opened = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        super().connection_made(transport)
+        type(self).connections_opened += 1
+        if self.connection_limit and len(self.connections) > self.connection_limit:
+            transport.abort()
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self.scope["extensions"] = {_TRANSPORT: self.transport}  # type: ignore[dict-item]
+
+
+class _Server(uvicorn.Server):
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leaves signals to the process, which may run several servers or be a test."""
+        yield
+
+
+def bind(address: str) -> socket.socket:
+    """Returns a TCP socket bound to "IP:port"; port 0 takes a free one."""
+    host, _, port = address.rpartition(":")
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, int(port)))
+    except OSError:
+        listener.close()
+        raise
+    listener.setblocking(False)
+    return listener
+
+
+def address_of(listener: socket.socket) -> str:
+    """Returns the "IP:port" that a socket is bound to."""
+    host, port = listener.getsockname()
+    return f"{host}:{port}"
+
+
+class HttpServer:
+    """Serves a Falcon application on one address, in the running event loop.
+
+    `connection_limit` aborts connections above it; 0 sets no limit. `address` may have port 0;
+    after `start` it names the real port, which `refuse` and `listen` keep.
+    """
+
+    def __init__(self, application: Any, address: str, connection_limit: int = 0) -> None:
+        self.address = address
+
+        class Protocol(_Protocol):
+            """Counts the connections of this server only."""
+
+        Protocol.connection_limit = connection_limit
+        self._protocol = Protocol
+        config = uvicorn.Config(
+            _watch_disconnects(application),
+            loop="asyncio",
+            http=self._protocol,
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            log_level="critical",
+            access_log=False,
+            # Longer than the idle limit of a node, so that the node closes idle connections first.
+            timeout_keep_alive=120,
+            backlog=1024,
+        )
+        self._server = _Server(config)
+        self._task: asyncio.Task[None] | None = None
+        self._listening = False
+
+    @property
+    def connections_opened(self) -> int:
+        """Connections accepted since the start, including aborted ones."""
+        return self._protocol.connections_opened
+
+    async def start(self) -> str:
+        """Listens and returns the address."""
+        listener = bind(self.address)
+        self.address = address_of(listener)
+        self._task = asyncio.create_task(self._server.serve(sockets=[listener]))
+        while not self._server.started:
+            if self._task.done():
+                self._task.result()
+            await asyncio.sleep(0.002)
+        self._listening = True
+        return self.address
+
+    def refuse(self) -> None:
+        """Closes the listening socket and all connections; new ones get ECONNREFUSED."""
+        self._listening = False
+        for server in self._server.servers:
+            server.close()
+        self.abort_connections()
+
+    async def listen(self) -> None:
+        """Accepts connections again after `refuse`."""
+        if not self._listening:
+            self._listening = True
+            await self._server.startup(sockets=[bind(self.address)])
+
+    def abort_connections(self) -> None:
+        """Resets every open connection."""
+        for connection in list(self._server.server_state.connections):
+            transport = connection.transport
+            if transport is not None:
+                transport.abort()
+
+    async def close(self) -> None:
+        """Stops listening, resets the connections and cancels their requests."""
+        if self._task is None:
+            return
+        self.refuse()
+        for task in list(self._server.server_state.tasks):
+            task.cancel()
+        self._server.should_exit = self._server.force_exit = True
+        await self._task
+        self._task = None
+
+
+def _watch_disconnects(application: Any) -> _Application:
+    async def watched(scope: _Scope, receive: _Receive, send: _Send) -> None:
+        async def receive_watched() -> MutableMapping[str, Any]:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                scope[_DISCONNECTED] = True
+            return message
+
+        with contextlib.suppress(asyncio.CancelledError):
+            await application(scope, receive_watched, send)
+
+    return watched
+
+
+def body_was_cut(request: falcon.asgi.Request) -> bool:
+    """Tells after reading the body whether the peer disconnected before its end.
+
+    Falcon ends the stream in the same way for a complete body and for a disconnect.
+    """
+    return bool(request.scope.get(_DISCONNECTED))
+
+
+def abort_connection(request: falcon.asgi.Request) -> None:
+    """Resets the connection of `request`, so that it gets no response."""
+    request.scope["extensions"][_TRANSPORT].abort()
+
+
+async def read_object(request: falcon.asgi.Request) -> dict[str, Any]:
+    """Returns the JSON object in the body; an empty body is an empty object."""
+    if not request.content_length:
+        return {}
+    data = await request.get_media()
+    if not isinstance(data, dict):
+        raise falcon.HTTPBadRequest(description="the body must be a JSON object")
+    return data
+
+
+def build_fields(kind: type[_Fields], data: dict[str, Any]) -> _Fields:
+    """Builds a NamedTuple of bool, int, float and str fields from `data`.
+
+    Absent fields get their defaults. Unknown names and wrong types are answered with 400, so that
+    a misspelt fault cannot pass for a healthy run.
+    """
+    types: dict[str, type] = kind.__annotations__
+    for name, value in data.items():
+        wanted = types.get(name)
+        if wanted is None:
+            raise falcon.HTTPBadRequest(description=f"unknown field {name!r}")
+        accepted = (int, float) if wanted is float else (wanted,)
+        if type(value) not in accepted:
+            raise falcon.HTTPBadRequest(description=f"{name} must be {wanted.__name__}")
+    return kind(**data)
+
+
+async def run_until_signal() -> None:
+    """Returns at SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
