Add the node assembly and the demonstration

Cause: the parts need one place that builds them and owns their tasks. Change: Node, the daemon with graceful shutdown, the contexts of the caller and operator applications, burn records written by one node of each zone, and one process with stand-ins.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	@touch $(STAMP)
 
 run: $(STAMP)
-	@$(BIN)/python -m standins.demo examples/demo.yaml
+	@$(BIN)/python -m standins.demo examples/demo.yaml examples/demo-services.yaml
 
 fleet: $(STAMP)
 	@$(BIN)/python -m standins.fleet
--- /dev/null
+++ b/anviltray/node/_node.py
@@ -0,0 +1,298 @@
+"""Assembly of one node."""
+
+import asyncio
+import contextlib
+import random
+import secrets
+from collections.abc import Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import logbook
+import uvicorn
+
+from anviltray.callers import bind, create_application, serve
+from anviltray.messages import (
+    Counters,
+    Ejection,
+    Evidence,
+    Leaving,
+    LoadDigest,
+    Member,
+    Members,
+)
+from anviltray.node._burn_log import BurnLog
+from anviltray.node._context import NodeContext
+from anviltray.node._operator_view import OperatorView
+from anviltray.node._platforms import platforms
+from anviltray.operators import create_operator_application
+from anviltray.platform import HostEntry, Platform
+from anviltray.reports import BurnCollector
+from anviltray.settings import Settings
+from anviltray.state import (
+    CommandPublisher,
+    HostListPoller,
+    LogFollower,
+    SnapshotWriter,
+    reader_ranks,
+    snapshot_rank,
+)
+from anviltray.state.configuration import ConfigurationStore
+from anviltray.state.exchange import Exchange
+from anviltray.state.membership import rendezvous_rank
+from anviltray.telemetry import Metrics
+
+_log = logbook.Logger("anviltray.node")
+
+_COUNTERS_INTERVAL_S = 10.0  # Six messages in each slot of the burn report.
+_PROBE_TIMEOUT_S = 1.0
+
+
+class Node:
+    """One node: all tasks and the state they own.
+
+    Example: `node = Node(load_settings(path))`, `await node.start()`, later `await node.stop()`.
+    A platform may be given, for example a fake that several nodes of one process share.
+    """
+
+    def __init__(self, settings: Settings, platform: Platform | None = None) -> None:
+        self.settings = settings
+        self.metrics = Metrics(settings.telemetry.statsd_address, settings.telemetry.statsd_prefix)
+        rng = random.Random(secrets.randbits(64))
+        kind = settings.platform.kind
+        self.platform = platform if platform is not None else platforms[kind](settings.platform)
+        self.store = ConfigurationStore()
+        key = _read_key(settings.peer_key_file)
+        self.exchange = Exchange(settings, self.store, key, rng)
+        self.context = NodeContext(settings, self.store, self.exchange, self.metrics, rng)
+        self._follower = LogFollower(
+            self.platform,
+            self.store,
+            lambda: reader_ranks(self.exchange.membership),
+            poll_interval_s=settings.platform.poll_interval_s,
+            readers_per_zone=settings.exchange.log_readers_per_zone,
+        )
+        self._snapshots = SnapshotWriter(
+            self.platform,
+            self.store,
+            lambda: snapshot_rank(self.exchange.membership),
+            after_records=settings.platform.snapshot_after_records,
+            chunk_bytes=settings.platform.snapshot_chunk_bytes,
+        )
+        self._hosts = HostListPoller(self.platform, settings.platform.host_list_interval_s)
+        self._collector = BurnCollector(settings.zone)
+        self._burn_log = BurnLog(self.platform, self._collector, settings.zone, self._zone_rank)
+        publisher = CommandPublisher(self.platform, self.store, self._follower.read)
+        self._view = OperatorView(self.context, publisher, self._burn_log)
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._serving: list[asyncio.Task[Any]] = []
+        self._stop_callers = asyncio.Event()
+        self._stop_operators = asyncio.Event()
+        self._subscribe()
+
+    def _subscribe(self) -> None:
+        exchange, context = self.exchange, self.context
+        self.store.subscribe(context.configure)
+        self._hosts.subscribe(self._take_hosts)
+        exchange.on(Evidence, context.board.peer_evidence)
+        exchange.on(Ejection, context.board.peer_ejection)
+        exchange.on(LoadDigest, context.loads.peer_load)
+        exchange.on(Counters, lambda _, message: self._collector.receive(message))
+        exchange.on(Leaving, self._take_leaving)
+        exchange.on_member(self._take_member)
+        exchange.set_query_handler(self._view.answer)
+
+    async def start(self) -> None:
+        """Binds all addresses and starts the tasks; raises OSError if an address is in use."""
+        loop = asyncio.get_running_loop()
+        if not type(loop).__module__.startswith("asyncio."):
+            raise RuntimeError(f"{type(loop).__module__} is not the standard event loop")
+        callers = bind(self.settings.caller_address)
+        operators = bind(self.settings.operator_address)
+        await self.exchange.start()
+        key = _read_key(self.settings.operator_key_file)
+        operator_application = create_operator_application(self._view, key)
+        self._serving = [
+            asyncio.create_task(
+                serve(
+                    create_application(self.context),
+                    self.settings.callers,
+                    callers,
+                    self._stop_callers,
+                    self._listening,
+                )
+            ),
+            asyncio.create_task(self._serve_operators(operator_application, operators)),
+        ]
+        for task in (
+            self._follower.run(),
+            self._snapshots.run(),
+            self._hosts.run(),
+            self._burn_log.run(),
+            self.metrics.run(),
+            self._update_board(),
+            self._send_loads(),
+            self._send_counters(),
+            self._probe(),
+        ):
+            self._tasks.append(asyncio.create_task(_guard(task)))
+        self.context.set_members(self.exchange.membership.serving())
+
+    async def stop(self) -> None:
+        """Leaves without cutting a request.
+
+        The node is no longer named in ask responses, serves for the lifetime of those that name
+        it, finishes what is in flight, and then ends its tasks.
+        """
+        self.context.shutting_down = True
+        _log.info("leaving")
+        self.exchange.send(Members((self.exchange.membership.leave(),)))
+        await asyncio.sleep(self.settings.callers.answer_lifetime_s)
+        self._stop_callers.set()
+        await self._serving[0]
+        await self.close()
+        _log.info("left")
+
+    async def close(self) -> None:
+        """Ends all tasks at once."""
+        self._stop_callers.set()
+        self._stop_operators.set()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.exchange.stop()
+        await asyncio.gather(*self._serving, return_exceptions=True)
+        await self.context.upstreams.close()
+        await self.platform.close()
+        self.metrics.flush()
+
+    def _listening(self) -> None:
+        self.context.listening = True
+
+    async def _serve_operators(self, application: Any, listener: Any) -> None:
+        config = uvicorn.Config(
+            application,
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+        )
+        server = _Server(config)
+        serving = asyncio.create_task(server.serve([listener]))
+        await self._stop_operators.wait()
+        server.should_exit = True
+        await serving
+
+    # Membership and host list
+
+    def _take_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
+        self.exchange.set_hosts(hosts)
+        now_s = asyncio.get_running_loop().time()
+        leaving = (
+            host.address for host in hosts if host.role == "upstream" and host.state == "leaving"
+        )
+        self.context.leaving.from_list(now_s, leaving)
+        self._pass_on_leaving(now_s)
+
+    def _take_leaving(self, now_s: float, message: Leaving) -> None:
+        self.context.leaving.from_peer(now_s, message)
+        self._pass_on_leaving(now_s)
+
+    def _pass_on_leaving(self, now_s: float) -> None:
+        self.context.take_leaving(now_s)
+        while (message := self.context.leaving.take_message()) is not None:
+            self.exchange.send(message)
+
+    def _take_member(self, member: Member) -> None:
+        if member.status == "dead":
+            self.context.board.peer_gone(asyncio.get_running_loop().time(), member.node)
+            self._collector.forget(member.node)
+        self.context.set_members(self.exchange.membership.serving())
+
+    def _zone_rank(self) -> int:
+        zone = self.settings.zone
+        serving = self.exchange.membership.serving()
+        nodes = [member.node for member in serving if member.zone == zone]
+        return rendezvous_rank(f"burn|{zone}", self.settings.node, nodes)
+
+    # Periodic tasks
+
+    async def _update_board(self) -> None:
+        loop = asyncio.get_running_loop()
+        board = self.context.board
+        while True:
+            await asyncio.sleep(self.settings.exchange.flush_interval_s)
+            now_s = loop.time()
+            self._pass_on_leaving(now_s)
+            update = board.update(now_s)
+            for message in update.messages:
+                self.exchange.send(message)
+            for change in update.changes:
+                self.metrics.increment(f"upstreams.{change.after}")
+                _log.info(
+                    "{} of {}: {} -> {}: {}",
+                    change.address,
+                    change.service,
+                    change.before,
+                    change.after,
+                    change.reason,
+                )
+            if update.changes:
+                self.context.set_capacities(now_s)
+            self.context.refresh_readiness()
+
+    async def _send_loads(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(self.settings.exchange.load_interval_s)
+            for name in tuple(self.context.services):
+                digest = self.context.loads.digest(loop.time(), name)
+                if digest.upstreams:
+                    self.exchange.send(digest)
+
+    async def _send_counters(self) -> None:
+        while True:
+            await asyncio.sleep(_COUNTERS_INTERVAL_S)
+            message = self.context.burn.message()
+            self._collector.receive(message)
+            if message.services:
+                self.exchange.send(message)
+
+    async def _probe(self) -> None:
+        """Probes this node's share of the upstreams, spread over the interval."""
+        loop = asyncio.get_running_loop()
+        interval_s = self.settings.upstreams.probe_interval_s
+        while True:
+            nodes = [member.node for member in self.exchange.membership.serving()]
+            targets = self.context.board.probe_targets(loop.time(), nodes)
+            if not targets:
+                await asyncio.sleep(interval_s)
+            for address in targets:
+                await asyncio.sleep(interval_s / len(targets))
+                healthy = await self.context.upstreams.probe(address, _PROBE_TIMEOUT_S)
+                self.context.board.probed(loop.time(), address, healthy)
+
+
+class _Server(uvicorn.Server):
+    """uvicorn's server without its signal handlers, which belong to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Captures nothing."""
+        yield
+
+
+async def _guard(task: Coroutine[Any, Any, None]) -> None:
+    """Logs a task that ends by an error, which would otherwise stay unseen until the shutdown."""
+    try:
+        await task
+    except Exception:
+        _log.exception("a task of the node has failed")
+        raise
+
+
+def _read_key(path: str) -> bytes:
+    return Path(path).read_bytes().strip() if path else b""
--- /dev/null
+++ b/anviltray/node/_operator_view.py
@@ -0,0 +1,158 @@
+"""What a node gives to its operator endpoint."""
+
+import asyncio
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from anviltray.language import (
+    LanguageError,
+    SetFloor,
+    SetUpstreamState,
+    UnknownColumnError,
+    parse_statement,
+)
+from anviltray.messages import BurnSummary, CommandEntry, ConfigCommand, Member
+from anviltray.node._burn_log import BurnLog
+from anviltray.node._context import NodeContext
+from anviltray.operators import FleetAnswer, InForce, Row, answer_query
+from anviltray.state import CommandOutcome, CommandPublisher
+from anviltray.state.configuration import (
+    put_service,
+    remove_service,
+    set_floor,
+    set_upstream_state,
+)
+
+_BUILDERS: dict[str, Callable[..., ConfigCommand]] = {
+    "floor": set_floor,
+    "upstream": set_upstream_state,
+    "remove": remove_service,
+}
+
+
+class OperatorView:
+    """Implements `anviltray.operators.OperatorContext`."""
+
+    def __init__(
+        self, context: NodeContext, publisher: CommandPublisher, burn_log: BurnLog
+    ) -> None:
+        self._context = context
+        self._publisher = publisher
+        self._burn_log = burn_log
+        self._loop = asyncio.get_running_loop()
+
+    def upstream_rows(self, service: str | None) -> list[Row]:
+        """Returns a row for each upstream with the state of this node's board."""
+        now_s = self._loop.time()
+        names = sorted(self._context.services) if service is None else [service]
+        return [
+            self._named({"service": name, **row})
+            for name in names
+            for row in self._context.board.rows(name, now_s)
+        ]
+
+    def service_rows(self) -> list[Row]:
+        """Returns a row for each service with its slots, floor and routable slots."""
+        rows = []
+        for name, service in sorted(self._context.services.items()):
+            routable = self._context.board.routable(name).upstreams
+            declared = sum(upstream.slots for upstream in service.upstreams)
+            rows.append(
+                self._named(
+                    {
+                        "service": name,
+                        "slots": declared,
+                        "floor": max(service.floor_slots, service.floor_share * declared),
+                        "routable_slots": sum(upstream.slots for upstream in routable),
+                        "upstreams": len(service.upstreams),
+                        "routable": len(routable),
+                        "sensitivity": service.sensitivity,
+                    }
+                )
+            )
+        return rows
+
+    def node_row(self) -> Row:
+        """Returns the state of this node."""
+        own = self._context.exchange.membership.own
+        return self._named(
+            {
+                "status": own.status,
+                "region": own.region,
+                "zone": own.zone,
+                "caller_address": own.caller_address,
+                "config_version": self._context.store.version,
+                "peers": len(self._context.exchange.peers),
+                "known_nodes": len(self._context.exchange.membership.usable()),
+                "not_ready": "; ".join(self._context.not_ready()),
+            }
+        )
+
+    def explain_rows(self, address: str) -> list[Row]:
+        """Returns the evidence on one upstream and the rule behind its state."""
+        rows = self._context.board.explain(address, self._loop.time())
+        leaving = address in self._context.leaving.addresses
+        return [self._named({**row, "leaving": leaving}) for row in rows]
+
+    def attempt_rows(self, request_id: str) -> list[Row]:
+        """Returns what the attempt table remembers of one request."""
+        row = self._context.attempts.row(request_id)
+        return [] if row is None else [self._named(dict(row))]
+
+    def in_force(self) -> InForce:
+        """Returns the configuration in force."""
+        fold = self._context.store.fold
+        return InForce(fold.version, fold.digest, fold.services)
+
+    def history(self) -> Sequence[CommandEntry]:
+        """Returns the latest commands in log order."""
+        return self._context.store.fold.history
+
+    def members(self) -> Sequence[Member]:
+        """Returns the known nodes that are not dead."""
+        return tuple(self._context.exchange.membership.usable())
+
+    async def ask_fleet(self, text: str, deadline_s: float) -> FleetAnswer:
+        """Runs a query at all nodes and merges the rows."""
+        result = await self._context.exchange.query(text, deadline_s)
+        rows = [dict(row) for node in sorted(result.answers) for row in result.answers[node]]
+        return FleetAnswer(rows, tuple(result.missing))
+
+    def answer(self, text: str) -> Sequence[Row]:
+        """Answers another node's query; a statement that this node cannot read gives a row."""
+        try:
+            statement = parse_statement(text)
+            if isinstance(statement, SetFloor | SetUpstreamState):
+                return []
+            return [self._named(dict(row)) for row in answer_query(statement, self)]
+        except (LanguageError, UnknownColumnError) as error:
+            return [self._named({"error": str(error)})]
+
+    async def submit(self, command: ConfigCommand, timeout_s: float) -> CommandOutcome:
+        """Publishes a command and reads it back."""
+        return await self._publisher.submit(command, timeout_s)
+
+    async def burn_summaries(self) -> Sequence[BurnSummary]:
+        """Returns the burn records of the last days."""
+        return await self._burn_log.read_all()
+
+    def wall_time_s(self) -> float:
+        """Returns Unix time for display."""
+        return time.time()
+
+    def command(
+        self, kind: str, service: str, based_on: int, who: str, why: str, **fields: Any
+    ) -> ConfigCommand:
+        """Builds a command for the configuration log."""
+        common = {"based_on": based_on, "who": who, "why": why, "issued_unix_s": time.time()}
+        if kind == "put":
+            return put_service(fields["service"], **common)
+        return _BUILDERS[kind](service, **fields, **common)
+
+    def count(self, event: str) -> None:
+        """Counts an event."""
+        self._context.count(event)
+
+    def _named(self, row: Row) -> Row:
+        return {"node": self._context.settings.node, **row}
--- /dev/null
+++ b/anviltray/node/_platforms.py
@@ -0,0 +1,19 @@
+"""Registry of the platform adapters; each is one module of `anviltray.platform`."""
+
+from collections.abc import Callable
+
+from anviltray.decisions import Registry
+from anviltray.platform import HttpPlatform, MemoryPlatform, Platform
+from anviltray.settings import PlatformSettings
+
+platforms: Registry[Callable[[PlatformSettings], Platform]] = Registry("platform")
+
+
+@platforms.register("http")
+def _http(settings: PlatformSettings) -> Platform:
+    return HttpPlatform(settings.url, settings.timeout_s)
+
+
+@platforms.register("memory")
+def _memory(_settings: PlatformSettings) -> Platform:
+    return MemoryPlatform()
