--- a/anviltray/messages/_generated.py
+++ b/anviltray/messages/_generated.py
@@ -132,6 +132,203 @@
     )
 
 
+class UpstreamRecord(NamedTuple):
+    """One instance of a declared service."""
+
+    address: str  # IP:port of the instance.
+    region: str  # Region of the instance.
+    zone: str  # Availability zone of the instance.
+    slots: int  # Requests that it runs at the same time.
+    state: str  # active, draining or ejected.
+
+
+def _decode_upstream_record(data: Any) -> UpstreamRecord:
+    items = check_arity("UpstreamRecord", data, 5)
+    return UpstreamRecord(
+        address=take_str(items[0]),
+        region=take_str(items[1]),
+        zone=take_str(items[2]),
+        slots=take_int(items[3]),
+        state=take_str(items[4]),
+    )
+
+
+class RouteRecord(NamedTuple):
+    """One path prefix of a declared service."""
+
+    prefix: str  # Path prefix.
+    host: str  # Host header that must match; empty matches any.
+
+
+def _decode_route_record(data: Any) -> RouteRecord:
+    items = check_arity("RouteRecord", data, 2)
+    return RouteRecord(
+        prefix=take_str(items[0]),
+        host=take_str(items[1]),
+    )
+
+
+class RetryRuleRecord(NamedTuple):
+    """Requests of a declared service that are idempotent."""
+
+    methods: tuple[str, ...]  # HTTP methods.
+    prefix: str  # Path prefix.
+    attempts: int  # Attempts in all.
+    hedge: bool  # A second attempt may start before the first has failed.
+
+
+def _decode_retry_rule_record(data: Any) -> RetryRuleRecord:
+    items = check_arity("RetryRuleRecord", data, 4)
+    return RetryRuleRecord(
+        methods=take_list(items[0], take_str),
+        prefix=take_str(items[1]),
+        attempts=take_int(items[2]),
+        hedge=take_bool(items[3]),
+    )
+
+
+class ServiceRecord(NamedTuple):
+    """One declared service, with the fields and the order of the declarations."""
+
+    name: str  # Unique service name.
+    upstreams: tuple[UpstreamRecord, ...]  # Instances of the service.
+    routes: tuple[RouteRecord, ...]  # Requests that belong to the service.
+    floor_slots: int  # Least capacity in slots that ejection leaves.
+    floor_share: float  # Least share of the capacity that ejection leaves.
+    sensitivity: str  # fast, balanced or careful.
+    objective_share: float  # Share of requests that must be good.
+    objective_latency_ms: float  # A slower request is not good.
+    retry_rules: tuple[RetryRuleRecord, ...]  # Requests that may be repeated.
+
+
+def _decode_service_record(data: Any) -> ServiceRecord:
+    items = check_arity("ServiceRecord", data, 9)
+    return ServiceRecord(
+        name=take_str(items[0]),
+        upstreams=take_list(items[1], _decode_upstream_record),
+        routes=take_list(items[2], _decode_route_record),
+        floor_slots=take_int(items[3]),
+        floor_share=take_float(items[4]),
+        sensitivity=take_str(items[5]),
+        objective_share=take_float(items[6]),
+        objective_latency_ms=take_float(items[7]),
+        retry_rules=take_list(items[8], _decode_retry_rule_record),
+    )
+
+
+class ConfigCommand(NamedTuple):
+    """One command of an operator, about one service."""
+
+    command_id: str  # Random identifier; a repeated one counts once.
+    kind: str  # put, remove, floor or upstream.
+    service: str  # Service that the command touches.
+    based_on: int  # Configuration version that the operator saw or -1.
+    who: str  # Operator.
+    issued_unix_s: float  # Wall clock of the issuing host, only displayed.
+    why: str  # Reason given by the operator.
+    definition: tuple[ServiceRecord, ...]  # The service for put, else empty.
+    floor_slots: int  # New floor for floor.
+    floor_share: float  # New floor for floor.
+    address: str  # Upstream for upstream.
+    state: str  # New state for upstream.
+
+
+def _decode_config_command(data: Any) -> ConfigCommand:
+    items = check_arity("ConfigCommand", data, 12)
+    return ConfigCommand(
+        command_id=take_str(items[0]),
+        kind=take_str(items[1]),
+        service=take_str(items[2]),
+        based_on=take_int(items[3]),
+        who=take_str(items[4]),
+        issued_unix_s=take_float(items[5]),
+        why=take_str(items[6]),
+        definition=take_list(items[7], _decode_service_record),
+        floor_slots=take_int(items[8]),
+        floor_share=take_float(items[9]),
+        address=take_str(items[10]),
+        state=take_str(items[11]),
+    )
+
+
+class CommandEntry(NamedTuple):
+    """One command in the history."""
+
+    version: int  # Offset of the command.
+    command_id: str  # Identifier of the command.
+    kind: str  # Kind of the command.
+    service: str  # Service that the command touched.
+    who: str  # Operator.
+    issued_unix_s: float  # Wall clock of the issuing host, only displayed.
+    why: str  # Reason given by the operator.
+    rejection: str  # Why the command was rejected; empty if accepted.
+
+
+def _decode_command_entry(data: Any) -> CommandEntry:
+    items = check_arity("CommandEntry", data, 8)
+    return CommandEntry(
+        version=take_int(items[0]),
+        command_id=take_str(items[1]),
+        kind=take_str(items[2]),
+        service=take_str(items[3]),
+        who=take_str(items[4]),
+        issued_unix_s=take_float(items[5]),
+        why=take_str(items[6]),
+        rejection=take_str(items[7]),
+    )
+
+
+class ServiceState(NamedTuple):
+    """One service in the configuration state."""
+
+    definition: ServiceRecord  # The service.
+    revision: int  # Offset of the last command that changed it.
+
+
+def _decode_service_state(data: Any) -> ServiceState:
+    items = check_arity("ServiceState", data, 2)
+    return ServiceState(
+        definition=_decode_service_record(items[0]),
+        revision=take_int(items[1]),
+    )
+
+
+class RemovedService(NamedTuple):
+    """A removed service, remembered to detect conflicts."""
+
+    name: str  # Service name.
+    revision: int  # Offset of the command that removed it.
+
+
+def _decode_removed_service(data: Any) -> RemovedService:
+    items = check_arity("RemovedService", data, 2)
+    return RemovedService(
+        name=take_str(items[0]),
+        revision=take_int(items[1]),
+    )
+
+
+class ConfigState(NamedTuple):
+    """Whole configuration state, which a snapshot holds."""
+
+    version: int  # Offset of the last record in the state.
+    services: tuple[ServiceState, ...]  # Services sorted by name.
+    removed: tuple[RemovedService, ...]  # Removed services by revision.
+    forgotten_revision: int  # Newest revision of a removed service that is no longer listed or -1.
+    history: tuple[CommandEntry, ...]  # Latest commands in log order.
+
+
+def _decode_config_state(data: Any) -> ConfigState:
+    items = check_arity("ConfigState", data, 5)
+    return ConfigState(
+        version=take_int(items[0]),
+        services=take_list(items[1], _decode_service_state),
+        removed=take_list(items[2], _decode_removed_service),
+        forgotten_revision=take_int(items[3]),
+        history=take_list(items[4], _decode_command_entry),
+    )
+
+
 class Hello(NamedTuple):
     """First message in both directions on a peer connection."""
 
@@ -154,7 +351,9 @@
 class Proof(NamedTuple):
     """Proves knowledge of the shared peer key."""
 
-    signature: bytes  # HMAC-SHA256 over the other side's nonce and node name.
+    signature: (
+        bytes  # HMAC-SHA256 over the side of the connection, both node names and both nonces.
+    )
 
 
 def _decode_proof(data: Any) -> Proof:
@@ -391,6 +590,19 @@
     )
 
 
+class MembersDigest(NamedTuple):
+    """Digests of the sender's members; a receiver answers with the members that differ."""
+
+    buckets: tuple[int, ...]  # XOR of the member digests, by hash of the node name.
+
+
+def _decode_members_digest(data: Any) -> MembersDigest:
+    items = check_arity("MembersDigest", data, 1)
+    return MembersDigest(
+        buckets=take_list(items[0], take_int),
+    )
+
+
 class Counters(NamedTuple):
     """Burn counters of one node, replaces its earlier message."""
 
@@ -426,6 +638,7 @@
     | ConfigSnapshot
     | Query
     | QueryAnswer
+    | MembersDigest
     | Counters
 )
 
@@ -446,6 +659,7 @@
     ConfigSnapshot: 13,
     Query: 14,
     QueryAnswer: 15,
+    MembersDigest: 17,
     Counters: 16,
 }
 
@@ -466,6 +680,7 @@
     13: _decode_config_snapshot,
     14: _decode_query,
     15: _decode_query_answer,
+    17: _decode_members_digest,
     16: _decode_counters,
 }
 
@@ -486,22 +701,52 @@
     ConfigSnapshot: "configuration",
     Query: "operator",
     QueryAnswer: "operator",
+    MembersDigest: "membership",
     Counters: "load",
 }
 
 
+ConfigRecord = SnapshotPart | ConfigCommand | ConfigState
+
+
+RECORD_TAGS: dict[type[ConfigRecord], int] = {
+    SnapshotPart: 3,
+    ConfigCommand: 1,
+    ConfigState: 2,
+}
+
+
+RECORD_DECODERS: dict[int, Callable[[Any], ConfigRecord]] = {
+    3: _decode_snapshot_part,
+    1: _decode_config_command,
+    2: _decode_config_state,
+}
+
+
 __all__ = [
     "SCHEMA_VERSION",
     "TAGS",
     "DECODERS",
     "PRIORITIES",
     "Message",
+    "RECORD_TAGS",
+    "RECORD_DECODERS",
+    "ConfigRecord",
     "Member",
     "UpstreamEvidence",
     "UpstreamLoad",
     "LogRecord",
     "SnapshotPart",
     "ServiceCounters",
+    "UpstreamRecord",
+    "RouteRecord",
+    "RetryRuleRecord",
+    "ServiceRecord",
+    "ConfigCommand",
+    "CommandEntry",
+    "ServiceState",
+    "RemovedService",
+    "ConfigState",
     "Hello",
     "Proof",
     "Ping",
@@ -517,5 +762,6 @@
     "ConfigSnapshot",
     "Query",
     "QueryAnswer",
+    "MembersDigest",
     "Counters",
 ]
--- a/anviltray/settings/_generated.py
+++ b/anviltray/settings/_generated.py
@@ -121,6 +121,7 @@
 class ExchangeSettings(NamedTuple):
     """Connections between nodes."""
 
+    seeds: tuple[str, ...]  # Peer addresses that a node tries while it knows no other node.
     peers: int  # Peer connections that a node keeps open itself.
     budget_bytes_s: int  # Bytes per second to all peers.
     flush_interval_s: float  # Delay within which evidence is coalesced.
@@ -134,6 +135,7 @@
 def build_exchange_settings(data: Mapping[str, Any]) -> ExchangeSettings:
     """Builds ExchangeSettings from validated data, with defaults for absent keys."""
     return ExchangeSettings(
+        seeds=tuple(data.get("seeds", [])),
         peers=data.get("peers", 8),
         budget_bytes_s=data.get("budget_bytes_s", 16000),
         flush_interval_s=float(data.get("flush_interval_s", 0.05)),
--- /dev/null
+++ b/anviltray/testing/_clock.py
@@ -0,0 +1,60 @@
+"""Event loop whose clock advances only when nothing else is left to do."""
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+_Result = TypeVar("_Result")
+_Events = list[tuple[selectors.SelectorKey, int]]
+
+
+class Deadlock(Exception):
+    """All tasks wait, no timer is set and no socket becomes ready."""
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    """Advances the clock instead of sleeping when no socket is ready."""
+
+    settle_s = 0.0
+    now_s = 0.0
+
+    def select(self, timeout: float | None = None) -> _Events:
+        events = super().select(0)
+        if events or (timeout is not None and timeout <= 0):
+            return events
+        if self.settle_s > 0:
+            # The kernel may deliver data of the same process a moment after the send.
+            events = super().select(self.settle_s)
+            if events:
+                return events
+        if timeout is None:
+            raise Deadlock("all tasks wait for something that never happens")
+        self.now_s += timeout
+        return []
+
+
+class VirtualClockLoop(asyncio.SelectorEventLoop):
+    """An event loop with a virtual clock that starts at 0.
+
+    `settle_s` is the real time for which sockets may still become ready before the clock jumps;
+    0 suits tests without sockets. Threads are not waited for.
+    """
+
+    def __init__(self, settle_s: float = 0.0) -> None:
+        self._jumping = _JumpingSelector()
+        self._jumping.settle_s = settle_s
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        """Returns the virtual time in seconds."""
+        return self._jumping.now_s
+
+
+def run_virtual(main: Coroutine[Any, Any, _Result], settle_s: float = 0.0) -> _Result:
+    """Runs a coroutine on a VirtualClockLoop and returns its result.
+
+    Example: `run_virtual(asyncio.sleep(3600, "done"))` returns "done" at once.
+    """
+    with asyncio.Runner(loop_factory=lambda: VirtualClockLoop(settle_s)) as runner:
+        return runner.run(main)
--- /dev/null
+++ b/anviltray/testing/tests/test_clock.py
@@ -0,0 +1,46 @@
+"""Guards against tests that wait in real time or hang without a reason."""
+
+import asyncio
+
+import pytest
+
+from anviltray.testing import Deadlock, free_address, run_virtual
+
+
+def test_sleeping_tasks_run_in_the_order_of_their_times():
+    async def main():
+        order = []
+
+        async def wait(delay_s):
+            await asyncio.sleep(delay_s)
+            order.append(asyncio.get_running_loop().time())
+
+        await asyncio.gather(wait(3600.0), wait(1.0), wait(60.0))
+        return order
+
+    assert run_virtual(main()) == [1.0, 60.0, 3600.0]
+
+
+def test_waiting_for_nothing_is_reported():
+    async def main():
+        await asyncio.get_running_loop().create_future()
+
+    with pytest.raises(Deadlock):
+        run_virtual(main())
+
+
+def test_data_on_a_socket_comes_before_a_timer():
+    async def main():
+        async def echo(reader, writer):
+            writer.write(await reader.readexactly(4))
+            writer.close()
+
+        host, port = free_address("127.0.0.9").split(":")
+        async with await asyncio.start_server(echo, host, int(port)):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"ping")
+            answer = await asyncio.wait_for(reader.readexactly(4), 0.001)
+            writer.close()
+            return answer
+
+    assert run_virtual(main(), settle_s=0.05) == b"ping"
--- a/codegen/_messages.py
+++ b/codegen/_messages.py
@@ -36,11 +36,27 @@
         f'    {name}: "{entry["priority"]}",\n' for name, entry in messages.items()
     )
     parts.append(f"PRIORITIES: dict[type[Message], str] = {{\n{priorities}}}\n")
-    names = ["SCHEMA_VERSION", "TAGS", "DECODERS", "PRIORITIES", "Message", *entries]
+    parts.append(_render_records(schema["structs"]))
+    names = ["SCHEMA_VERSION", "TAGS", "DECODERS", "PRIORITIES", "Message"]
+    names += ["RECORD_TAGS", "RECORD_DECODERS", "ConfigRecord", *entries]
     parts.append("__all__ = [" + ", ".join(f'"{name}"' for name in names) + "]\n")
     return "\n\n".join(parts)
 
 
+def _render_records(structs: dict[str, Any]) -> str:
+    """Returns the union, the tags and the decoders of the structs that are log records."""
+    records = {
+        name: entry["record_tag"] for name, entry in structs.items() if "record_tag" in entry
+    }
+    tags = "".join(f"    {name}: {tag},\n" for name, tag in records.items())
+    decoders = "".join(f"    {tag}: _decode_{_snake(name)},\n" for name, tag in records.items())
+    return (
+        f"ConfigRecord = {' | '.join(records)}\n\n\n"
+        f"RECORD_TAGS: dict[type[ConfigRecord], int] = {{\n{tags}}}\n\n\n"
+        f"RECORD_DECODERS: dict[int, Callable[[Any], ConfigRecord]] = {{\n{decoders}}}\n"
+    )
+
+
 def _render_entry(name: str, entry: dict[str, Any]) -> str:
     fields = "\n".join(
         f"    {field['name']}: {_annotation(field['type'])}  # {field['doc']}"
