--- /dev/null
+++ b/anviltray/state/__init__.py
@@ -0,0 +1,19 @@
+"""State that nodes share: configuration, membership, and the tasks that keep them current."""
+
+from anviltray.state._host_poller import HostListPoller
+from anviltray.state._log_follower import LogFollower, ReaderRanks
+from anviltray.state._publisher import CommandOutcome, CommandPublisher
+from anviltray.state._ranks import reader_ranks, snapshot_rank
+from anviltray.state._snapshots import SnapshotWriter, read_newest_snapshot
+
+__all__ = [
+    "CommandOutcome",
+    "CommandPublisher",
+    "HostListPoller",
+    "LogFollower",
+    "ReaderRanks",
+    "SnapshotWriter",
+    "read_newest_snapshot",
+    "reader_ranks",
+    "snapshot_rank",
+]
--- /dev/null
+++ b/anviltray/state/_log_follower.py
@@ -0,0 +1,137 @@
+"""Task that reads the configuration log."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple
+
+import logbook
+
+from anviltray.platform import OffsetTrimmed, Platform, PlatformUnavailable
+from anviltray.state._snapshots import read_newest_snapshot
+from anviltray.state.configuration import STREAM, ConfigurationStore
+
+_log = logbook.Logger("anviltray.state.log")
+
+_READ_LIMIT = 256  # Records per read.
+# Without any word of the configuration from a peer for this time, three anti-entropy intervals, a
+# node reads the log itself.
+SILENCE_S = 6.0
+# A reader that is not the first of its region leaves a new record to the exchange for this time,
+# since each read of its own would bring the payload over the link between regions once more.
+BEHIND_S = 0.5
+
+
+class ReaderRanks(NamedTuple):
+    """Position of this node among the readers, from 0."""
+
+    region: int  # Position in the rendezvous order of the region.
+    zone: int  # Position in the rendezvous order of the availability zone.
+
+
+class LogFollower:
+    """Reads the log if this node is a reader, else only when peers are silent.
+
+    The first node of a region reads the records. The other readers of each zone only ask for the
+    offsets and read if the exchange does not deliver a record within BEHIND_S. `counters` holds
+    `reads`, `offset_reads`, `failures` and `uncovered`, the reads that found neither the next
+    record nor a snapshot after it.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        store: ConfigurationStore,
+        ranks: Callable[[], ReaderRanks],
+        *,
+        poll_interval_s: float,
+        readers_per_zone: int,
+    ) -> None:
+        self._platform = platform
+        self._store = store
+        self._ranks = ranks
+        self._poll_interval_s = poll_interval_s
+        self._readers_per_zone = readers_per_zone
+        self._started_s = 0.0
+        self._available = True
+        self.counters: Counter[str] = Counter()
+
+    async def run(self) -> None:
+        """Follows the log until it is cancelled."""
+        self._started_s = asyncio.get_running_loop().time()
+        while True:
+            await asyncio.sleep(self._poll_interval_s)
+            await self.step()
+
+    async def step(self) -> None:
+        """Reads once if this node's position asks for it."""
+        now_s = asyncio.get_running_loop().time()
+        ranks = self._ranks()
+        silent = now_s - max(self._store.last_heard_s, self._started_s) >= SILENCE_S
+        if ranks.region == 0 or silent:
+            await self.read()
+        elif ranks.zone < self._readers_per_zone:
+            await self._check_offsets()
+
+    async def read(self) -> bool:
+        """Reads to the end of the log; returns False if it is unavailable."""
+        try:
+            while await self._read_once():
+                pass
+        except PlatformUnavailable as error:
+            self._note(available=False, detail=str(error))
+            return False
+        self._note(available=True, detail="")
+        return True
+
+    async def _read_once(self) -> bool:
+        """Reads one batch; returns True if more may follow."""
+        loop = asyncio.get_running_loop()
+        self.counters["reads"] += 1
+        try:
+            batch = await self._platform.read(STREAM, self._store.version + 1, _READ_LIMIT)
+        except OffsetTrimmed:
+            return await self._load_snapshot()
+        applied = self._store.apply(loop.time(), batch.records)
+        self._store.read_to_end(loop.time(), batch.next_offset)
+        return applied > 0 and self._store.version + 1 < batch.next_offset
+
+    async def _load_snapshot(self) -> bool:
+        state = await read_newest_snapshot(self._platform)
+        now_s = asyncio.get_running_loop().time()
+        if state is not None and self._store.load(now_s, state):
+            return True
+        self.counters["uncovered"] += 1
+        offsets = await self._platform.offsets(STREAM)
+        self._store.heard(now_s, offsets.next - 1)
+        return False
+
+    async def _check_offsets(self) -> None:
+        self.counters["offset_reads"] += 1
+        try:
+            offsets = await self._platform.offsets(STREAM)
+        except PlatformUnavailable as error:
+            self._note(available=False, detail=str(error))
+            return
+        self._note(available=True, detail="")
+        loop = asyncio.get_running_loop()
+        self._store.heard(loop.time(), offsets.next - 1)
+        deadline_s = loop.time() + BEHIND_S
+        while self._store.version < offsets.next - 1:
+            remaining_s = deadline_s - loop.time()
+            if remaining_s <= 0:
+                await self.read()
+                return
+            await self._store.wait_change(remaining_s)
+        self._store.read_to_end(loop.time(), offsets.next)
+
+    def _note(self, *, available: bool, detail: str) -> None:
+        if not available:
+            self.counters["failures"] += 1
+        if available == self._available:
+            return
+        self._available = available
+        if available:
+            _log.info("the configuration log is available again")
+        else:
+            _log.warning("the configuration log is unavailable: {}", detail)
--- /dev/null
+++ b/anviltray/state/_snapshots.py
@@ -0,0 +1,184 @@
+"""Snapshots in the log: finding the newest one, and writing one when it is due."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+import logbook
+
+from anviltray.messages import ConfigState, SnapshotPart
+from anviltray.platform import (
+    AppendRejected,
+    AppendUnknown,
+    OffsetTrimmed,
+    Platform,
+    PlatformUnavailable,
+    Record,
+)
+from anviltray.state.configuration import (
+    SNAPSHOT_STREAM,
+    STREAM,
+    ConfigurationStore,
+    RecordError,
+    SnapshotAssembler,
+    decode_record,
+    encode_record,
+    split_state,
+)
+
+_log = logbook.Logger("anviltray.state.snapshots")
+
+_READ_LIMIT = 64  # Records per read: 4 MiB with the default chunk size.
+_CHECK_INTERVAL_S = 5.0
+# A node of rank r writes only after a snapshot has been due for r times this, longer than the
+# writer before it needs for the parts of today's configurations.
+_RANK_DELAY_S = 10.0
+# Nodes of a higher rank do not look at all; so many failing at once is less likely than an outage.
+_RANK_LIMIT = 8
+_RETRY_S = 0.1
+_RETRIES = 50
+
+
+async def read_newest_snapshot(platform: Platform) -> ConfigState | None:
+    """Returns the newest complete snapshot in the log, None if there is none.
+
+    Reads backwards in growing windows, because the stream may hold many older snapshots. Damaged
+    records are skipped. Raises PlatformUnavailable.
+    """
+    window = _READ_LIMIT
+    while True:
+        offsets = await platform.offsets(SNAPSHOT_STREAM)
+        start = max(offsets.oldest, offsets.next - window)
+        try:
+            state = _newest(await _read(platform, start, offsets.next))
+        except OffsetTrimmed:
+            continue
+        if state is not None or start == offsets.oldest:
+            return state
+        window *= 4
+
+
+async def _read(platform: Platform, start: int, end: int) -> list[Record]:
+    records: list[Record] = []
+    while start < end:
+        batch = await platform.read(SNAPSHOT_STREAM, start, min(_READ_LIMIT, end - start))
+        if not batch.records:
+            break
+        records.extend(batch.records)
+        start = batch.records[-1].offset + 1
+    return records
+
+
+def _newest(records: Iterable[Record]) -> ConfigState | None:
+    """Returns the newest state of which all parts are among `records`."""
+    assemblers: dict[tuple[int, str], SnapshotAssembler] = {}
+    newest: ConfigState | None = None
+    for record in records:
+        try:
+            part = decode_record(record.payload)
+            if not isinstance(part, SnapshotPart):
+                continue
+            assembler = assemblers.setdefault((part.version, part.digest), SnapshotAssembler())
+            state = assembler.add(part)
+        except RecordError:
+            continue
+        if state is not None and (newest is None or state.version > newest.version):
+            newest = state
+    return newest
+
+
+class SnapshotWriter:
+    """Task that appends a snapshot before the records it replaces leave the log.
+
+    `rank` returns the position of this node in the rendezvous order of the fleet. Two snapshots of
+    two nodes are harmless, so no agreement is needed. `counters` holds `written` and `failed`.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        store: ConfigurationStore,
+        rank: Callable[[], int],
+        *,
+        after_records: int,
+        chunk_bytes: int,
+    ) -> None:
+        self._platform = platform
+        self._store = store
+        self._rank = rank
+        self._after_records = after_records
+        self._chunk_bytes = chunk_bytes
+        self._due_since_s: float | None = None
+        self._newest_version = -1
+        self.counters: Counter[str] = Counter()
+
+    async def run(self) -> None:
+        """Checks at intervals until it is cancelled."""
+        while True:
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+            await self.step()
+
+    async def step(self) -> bool:
+        """Writes a snapshot if one is due and it is this node's turn; returns True if written."""
+        rank = self._rank()
+        if rank >= _RANK_LIMIT or self._store.version < 0 or self._store.fold.stopped:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        try:
+            if not await self._due():
+                self._due_since_s = None
+                return False
+            if self._due_since_s is None:
+                self._due_since_s = now_s
+            if now_s - self._due_since_s < rank * _RANK_DELAY_S:
+                return False
+            newest = await read_newest_snapshot(self._platform)
+            self._newest_version = newest.version if newest is not None else -1
+            if not await self._due():
+                return False
+            await self._write()
+        except (PlatformUnavailable, AppendRejected, AppendUnknown) as error:
+            self.counters["failed"] += 1
+            _log.debug("snapshot postponed: {}", error)
+            return False
+        self._due_since_s = None
+        return True
+
+    async def _due(self) -> bool:
+        """Tells whether the newest known snapshot is too old.
+
+        It is due after the configured number of records, and earlier when the record that follows
+        the snapshot is in the older half of what the log retains, or when the log no longer has
+        the snapshot itself.
+        """
+        version = self._store.version
+        if version - self._newest_version >= self._after_records:
+            return True
+        commands = await self._platform.offsets(STREAM)
+        if commands.oldest == 0:
+            return False
+        snapshots = await self._platform.offsets(SNAPSHOT_STREAM)
+        if snapshots.oldest == snapshots.next:
+            return True
+        middle = commands.oldest + (commands.next - commands.oldest) // 2
+        return self._newest_version < min(middle, version)
+
+    async def _write(self) -> None:
+        state = self._store.fold.state()
+        for part in split_state(state, self._chunk_bytes):
+            await self._append(part)
+        self._newest_version = state.version
+        self.counters["written"] += 1
+        _log.info("snapshot of configuration {} written", state.version)
+
+    async def _append(self, part: SnapshotPart) -> None:
+        """Appends one part, again if the outcome is unknown: a second copy does no harm."""
+        payload = encode_record(part)
+        for attempt in range(_RETRIES):
+            try:
+                await self._platform.append(SNAPSHOT_STREAM, payload)
+                return
+            except (AppendRejected, AppendUnknown):
+                if attempt == _RETRIES - 1:
+                    raise
+                await asyncio.sleep(_RETRY_S)
