Add the exchange between nodes

Cause: nodes must hear of members, evidence and configuration from each other. Change: authenticated websockets with CBOR messages to a bounded number of peers, queues by priority, a byte budget, flooding with duplicate suppression, announce-then-pull for the configuration, anti-entropy and queries with a deadline. Ruled out: pushing configuration payloads, since each would cross a region link several times.

--- /dev/null
+++ b/anviltray/state/exchange/_exchange.py
@@ -0,0 +1,548 @@
+"""The task that connects a node with its peers."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, TypeVar
+
+import logbook
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import WebSocketException
+
+from anviltray.messages import (
+    SCHEMA_VERSION,
+    ConfigAnnounce,
+    ConfigRecords,
+    ConfigRequest,
+    ConfigSnapshot,
+    Counters,
+    Ejection,
+    Evidence,
+    Hello,
+    LoadDigest,
+    Member,
+    Members,
+    MembersDigest,
+    Message,
+    Ping,
+    PingAnswer,
+    Query,
+    QueryAnswer,
+)
+from anviltray.platform import HostEntry
+from anviltray.settings import Settings
+from anviltray.state.configuration import ConfigurationStore
+from anviltray.state.exchange._budget import ByteBudget
+from anviltray.state.exchange._config_sync import ConfigSync
+from anviltray.state.exchange._connector import (
+    CLOSE_TIMEOUT_S,
+    OPEN_TIMEOUT_S,
+    PEER_PATH,
+    PROBE_PATH,
+    Backoff,
+    ConnectFailed,
+    open_connection,
+)
+from anviltray.state.exchange._flood import FloodFilter
+from anviltray.state.exchange._handshake import (
+    HandshakeError,
+    WrongKey,
+    authenticate,
+    make_hello,
+)
+from anviltray.state.exchange._link import MAX_MESSAGE_BYTES, Link
+from anviltray.state.exchange._queries import Queries, QueryHandler, QueryResult
+from anviltray.state.exchange._queue import BULK
+from anviltray.state.membership import (
+    Location,
+    Membership,
+    Merge,
+    Probe,
+    rendezvous_rank,
+    select_peers,
+)
+
+_log = logbook.Logger("anviltray.state.exchange")
+_Message = TypeVar("_Message")
+
+_BURST_S = 2.0  # Seconds of the byte budget that may be sent at once.
+_PING_EVERY = 2  # Each opened connection is probed once in so many probe intervals.
+# A connection without any received byte for this many probe periods is replaced by a new one.
+_SILENT_PERIODS = 3
+_ANNOUNCE_INTERVAL_S = 2.0  # Configuration anti-entropy with one peer.
+_DIGEST_INTERVAL_S = 10.0  # Membership anti-entropy with one peer; a digest takes about 600 bytes.
+_STRANGER_INTERVAL_S = 10.0  # Probe of a node without a connection, so none stays unobserved.
+_MEMBERS_CHUNK = 32  # Members in one message, about 4 KB.
+_INBOUND_PER_PEER = 4  # Accepted connections as a multiple of the opened ones.
+
+
+class Exchange:
+    """Owns the connections to the peers and the membership.
+
+    `on` registers a handler for one message type, called as `handler(now_s, message)` once for
+    each new message. Evidence, Ejection, Leaving and Query reach every node, Counters every node of
+    the availability zone, LoadDigest the connected peers. `counters` holds the numbers of messages
+    and bytes, `link_bytes` for other regions, and failures.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: ConfigurationStore,
+        key: bytes,
+        rng: random.Random,
+    ) -> None:
+        own = Member(
+            settings.node,
+            rng.getrandbits(63),
+            0,
+            "alive",
+            settings.region,
+            settings.zone,
+            settings.caller_address,
+            settings.peer_address,
+        )
+        self._settings = settings.exchange
+        self._location = Location(settings.region, settings.zone)
+        self._store = store
+        self._key = key
+        self._rng = rng
+        self.counters: Counter[str] = Counter()
+        self.membership = Membership(own, settings.exchange, rng)
+        self._links: dict[str, Link] = {}
+        self._connecting: set[str] = set()
+        self._backoff = Backoff()
+        self._flood_filter = FloodFilter()
+        self._budget = ByteBudget(settings.exchange.budget_bytes_s, _BURST_S)
+        self._config = ConfigSync(
+            store, settings.region, lambda: tuple(self._links.values()), self._region_rank
+        )
+        self._queries = Queries(settings.node, lambda _: (), self._flood_own, self._send_to)
+        self._handlers: dict[type[Any], list[Callable[[float, Any], None]]] = {}
+        self._member_listeners: list[Callable[[Member], None]] = []
+        self._key_states: dict[str, bool] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: Server | None = None
+        self._wake = asyncio.Event()
+        self._stopping = False
+        self._internal: dict[type[Message], Callable[[Link, Any], None]] = {
+            Ping: self._on_ping,
+            PingAnswer: self._on_ping_answer,
+            Members: self._on_members,
+            MembersDigest: self._on_members_digest,
+            ConfigAnnounce: self._config.on_announce,
+            ConfigRequest: self._config.on_request,
+            ConfigRecords: self._config.on_records,
+            ConfigSnapshot: self._config.on_snapshot,
+            QueryAnswer: lambda _, message: self._queries.on_answer(message),
+        }
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """Names of the connected nodes."""
+        return tuple(self._links)
+
+    @property
+    def isolated(self) -> bool:
+        """True if this node knows others and has no connection to any."""
+        return not self._links and len(self.membership.usable()) > 1
+
+    def on(self, kind: type[_Message], handler: Callable[[float, _Message], None]) -> None:
+        """Registers a handler for one type of message from other nodes."""
+        self._handlers.setdefault(kind, []).append(handler)
+
+    def on_member(self, listener: Callable[[Member], None]) -> None:
+        """Calls `listener` with each member that changes, also with one that dies."""
+        self._member_listeners.append(listener)
+
+    def set_query_handler(self, handler: QueryHandler) -> None:
+        """Sets the function that answers an operator's query with rows."""
+        self._queries.handler = handler
+
+    def set_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
+        """Takes the platform's host list as a hint."""
+        self.membership.hint(hosts)
+        self._wake.set()
+
+    def send(self, message: Message) -> None:
+        """Sends a message of this node to its peers."""
+        self._flood_filter.is_new(self._now_s(), message)
+        self._forward(message, None)
+
+    async def query(self, text: str, timeout_s: float) -> QueryResult:
+        """Asks every node; names those that did not answer within `timeout_s`."""
+        nodes = [member.node for member in self.membership.usable()]
+        return await self._queries.ask(text, timeout_s, nodes)
+
+    def ready_reason(self) -> str | None:
+        """Returns why the configuration does not let this node serve yet."""
+        return self._store.ready_reason()
+
+    async def start(self) -> None:
+        """Listens at the peer address and starts the tasks; raises OSError if it is in use."""
+        host, _, port = self.membership.own.peer_address.rpartition(":")
+        self._server = await serve(
+            self._accept,
+            host.removeprefix("[").removesuffix("]"),
+            int(port),
+            compression=None,
+            open_timeout=OPEN_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
+            ping_interval=None,
+            max_size=MAX_MESSAGE_BYTES,
+            server_header=None,
+        )
+        for task in (self._connect_peers(), self._detect_failures(), self._repair()):
+            self._spawn(task)
+
+    async def stop(self) -> None:
+        """Tells the peers that this node leaves, then closes everything."""
+        self._stopping = True
+        self._forward(Members((self.membership.leave(),)), None)
+        # The writers get one flush interval to send the news.
+        await asyncio.sleep(self._settings.flush_interval_s)
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Closes everything without telling the peers."""
+        self._stopping = True
+        self._config.close()
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    # Connections
+
+    async def _connect_peers(self) -> None:
+        """Keeps connections to the selected peers open."""
+        while True:
+            self._wake.clear()
+            self._choose_peers()
+            try:
+                async with asyncio.timeout(self._settings.ping_interval_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+            # Several changes within a short time cost one selection.
+            await asyncio.sleep(self._settings.flush_interval_s)
+
+    def _choose_peers(self) -> None:
+        now_s = self._now_s()
+        candidates = {
+            member.node: member
+            for member in self.membership.candidates()
+            if member.node in self._links or not self._backoff.blocked(now_s, member.peer_address)
+        }
+        chosen = select_peers(
+            self.membership.own.node, self._location, candidates.values(), self._settings.peers
+        )
+        missing = [candidates[node].peer_address for node in chosen if node not in self._links]
+        if not candidates:
+            missing = [
+                address
+                for address in self._settings.seeds
+                if address != self.membership.own.peer_address
+                and not self._backoff.blocked(now_s, address)
+            ]
+        for address in missing:
+            if address not in self._connecting:
+                self._connecting.add(address)
+                self._spawn(self._open(address))
+        if not missing and not self._connecting:
+            for node, link in tuple(self._links.items()):
+                if link.opened_here and node not in chosen:
+                    link.close()
+
+    async def _open(self, address: str) -> None:
+        try:
+            socket, other = await open_connection(address, PEER_PATH, self._hello(), self._key)
+        except HandshakeError as error:
+            self._refused(address, error)
+        except ConnectFailed:
+            self.counters["connect_failures"] += 1
+            self._backoff.failed(self._now_s(), address)
+            self._suspect_address(address)
+        else:
+            self._accepted(address)
+            self._backoff.succeeded(address)
+            self._connecting.discard(address)
+            await self._run_link(socket, other, opened_here=True)
+        finally:
+            self._connecting.discard(address)
+
+    async def _accept(self, socket: ServerConnection) -> None:
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        remote = str(socket.remote_address[0]) if socket.remote_address else "unknown"
+        path = socket.request.path if socket.request is not None else ""
+        inbound = sum(1 for link in self._links.values() if not link.opened_here)
+        if path == PEER_PATH and inbound >= _INBOUND_PER_PEER * self._settings.peers:
+            self.counters["refused_full"] += 1
+            return
+        try:
+            other = await authenticate(
+                socket, self._hello(), self._key, opener=False, timeout_s=OPEN_TIMEOUT_S
+            )
+        except HandshakeError as error:
+            self._refused(remote, error)
+            return
+        except (OSError, WebSocketException):
+            self.counters["connect_failures"] += 1
+            return
+        self._accepted(remote)
+        if path == PEER_PATH and not self._stopping:
+            await self._run_link(socket, other, opened_here=False)
+
+    async def _run_link(self, socket: Any, other: Hello, *, opened_here: bool) -> None:
+        link = Link(
+            socket,
+            other,
+            opened_here=opened_here,
+            crosses_regions=other.member.region != self._location.region,
+            budget=self._budget,
+            counters=self.counters,
+        )
+        if not self._register(link):
+            await socket.close()
+            return
+        writer = asyncio.create_task(link.write())
+        try:
+            self._link_up(link)
+            await link.read(self._deliver)
+        finally:
+            writer.cancel()
+            if self._links.get(link.peer.node) is link:
+                del self._links[link.peer.node]
+                self._link_down(link)
+            link.close()
+
+    def _register(self, link: Link) -> bool:
+        """Keeps one of two connections with the same node; both sides choose the same one."""
+        node = link.peer.node
+        other = self._links.get(node)
+        if other is not None and other.peer.incarnation == link.peer.incarnation:
+            by_smaller = self.membership.own.node < node
+            if other.opened_here != link.opened_here and link.opened_here != by_smaller:
+                return False
+        self._links[node] = link
+        if other is not None:
+            other.close()
+        return True
+
+    def _link_up(self, link: Link) -> None:
+        self._merge(link, self.membership.merge(self._now_s(), (link.peer,)))
+        self._config.link_up(link)
+        self._send_digest(link)
+        self._wake.set()
+
+    def _link_down(self, link: Link) -> None:
+        self._config.link_down(link)
+        if not self._stopping:
+            self.membership.lost(self._now_s(), link.peer.node)
+        self._wake.set()
+
+    def _hello(self) -> Hello:
+        return make_hello(self.membership.own, SCHEMA_VERSION, self._store.version)
+
+    def _refused(self, remote: str, error: HandshakeError) -> None:
+        self.counters["wrong_keys" if isinstance(error, WrongKey) else "refused_peers"] += 1
+        self._backoff.failed(self._now_s(), remote)
+        if self._key_states.get(remote, True):
+            self._key_states[remote] = False
+            _log.warning("peer connection with {} refused: {}", remote, error)
+
+    def _accepted(self, remote: str) -> None:
+        if not self._key_states.pop(remote, True):
+            _log.info("peer connection with {} accepted again", remote)
+
+    # Messages
+
+    def _deliver(self, link: Link, message: Message) -> None:
+        internal = self._internal.get(type(message))
+        if internal is not None:
+            internal(link, message)
+            return
+        now_s = self._now_s()
+        if isinstance(message, Evidence | Ejection | LoadDigest | Counters) and (
+            message.node == self.membership.own.node
+            or not self.membership.is_current(message.node, message.incarnation)
+        ):
+            return
+        if not self._flood_filter.is_new(now_s, message):
+            self.counters["duplicate_messages"] += 1
+            return
+        if isinstance(message, Query):
+            self._queries.on_query(link.peer.node, message)
+        for handler in self._handlers.get(type(message), ()):
+            handler(now_s, message)
+        if not isinstance(message, LoadDigest):
+            self._forward(message, link)
+
+    def _forward(self, message: Message, source: Link | None) -> None:
+        """Queues a message for every peer but its source."""
+        within_zone = isinstance(message, Counters)
+        for link in tuple(self._links.values()):
+            near = (link.peer.region, link.peer.zone) == self._location
+            if link is not source and (near or not within_zone):
+                link.send(message)
+
+    def _flood_own(self, query: Query) -> None:
+        self.send(query)
+
+    def _send_to(self, node: str, answer: QueryAnswer) -> None:
+        link = self._links.get(node)
+        if link is not None:
+            link.send(answer)
+
+    # Membership
+
+    async def _detect_failures(self) -> None:
+        """Probes the opened connections in turn and closes silent ones."""
+        tick_s = min(self._settings.ping_timeout_s, self._settings.ping_interval_s) / 2
+        period_s = self._settings.ping_interval_s * _PING_EVERY
+        while True:
+            await asyncio.sleep(tick_s)
+            now_s = self._now_s()
+            for link in tuple(self._links.values()):
+                if now_s - link.heard_s > _SILENT_PERIODS * period_s:
+                    self.counters["silent_connections"] += 1
+                    link.close()
+                    if self._links.get(link.peer.node) is link:
+                        del self._links[link.peer.node]
+                        self._link_down(link)
+                elif link.opened_here and now_s - link.pinged_s >= period_s:
+                    link.pinged_s = now_s
+                    link.send(self.membership.probe(now_s, link.peer.node).ping)
+            step = self.membership.step(now_s, tuple(self._links))
+            self._send_probes(step.probes)
+            self._changed(step.changed, None)
+
+    def _send_probes(self, probes: Iterable[Probe]) -> None:
+        for probe in probes:
+            link = self._links.get(probe.to)
+            if link is not None:
+                link.send(probe.ping)
+
+    def _suspect_address(self, address: str) -> None:
+        """Starts a probe through relays of the node at an address that cannot be reached."""
+        for member in self.membership.usable():
+            if member.peer_address == address and member.node not in self._links:
+                self.membership.lost(self._now_s(), member.node)
+
+    def _on_ping(self, link: Link, ping: Ping) -> None:
+        if ping.target == self.membership.own.node:
+            link.send(PingAnswer(ping.sequence, ping.target, True))
+        else:
+            self._spawn(self._probe_for(link, ping))
+
+    async def _probe_for(self, link: Link, ping: Ping) -> None:
+        reached = await self._reach(ping.target)
+        link.send(PingAnswer(ping.sequence, ping.target, reached))
+
+    async def _reach(self, node: str) -> bool:
+        """Tells whether a new connection to a node can be opened.
+
+        An existing connection proves less: it may be silent while the node is well, or appear open
+        after the node died.
+        """
+        member = self.membership.members.get(node)
+        if member is None:
+            return False
+        try:
+            socket, other = await open_connection(
+                member.peer_address, PROBE_PATH, self._hello(), self._key
+            )
+        except (ConnectFailed, HandshakeError):
+            return False
+        await socket.close()
+        if other.member.node != node:
+            return False
+        self._changed(self.membership.merge(self._now_s(), (other.member,)).changed, None)
+        return True
+
+    def _on_ping_answer(self, link: Link, answer: PingAnswer) -> None:
+        self.membership.answered(answer.sequence, answer.reached)
+
+    def _on_members(self, link: Link, message: Members) -> None:
+        self._merge(link, self.membership.merge(self._now_s(), message.members))
+
+    def _on_members_digest(self, link: Link, digest: MembersDigest) -> None:
+        if digest == self.membership.digest():
+            return
+        differing = self.membership.differing(digest)
+        for start in range(0, len(differing), _MEMBERS_CHUNK):
+            link.send(Members(differing[start : start + _MEMBERS_CHUNK]), BULK)
+        self._send_digest(link)
+
+    def _send_digest(self, link: Link) -> None:
+        """Sends the digest, at most once per probe interval so that two nodes do not loop."""
+        now_s = self._now_s()
+        if now_s - link.digest_sent_s >= self._settings.ping_interval_s:
+            link.digest_sent_s = now_s
+            link.send(self.membership.digest())
+
+    def _merge(self, link: Link, merge: Merge) -> None:
+        if merge.corrections:
+            link.send(Members(merge.corrections))
+        self._changed(merge.changed, link)
+
+    def _changed(self, changed: tuple[Member, ...], source: Link | None) -> None:
+        """Passes changed members on and tells the listeners."""
+        if not changed:
+            return
+        self.counters["member_changes"] += len(changed)
+        for start in range(0, len(changed), _MEMBERS_CHUNK):
+            self._forward(Members(changed[start : start + _MEMBERS_CHUNK]), source)
+        for member in changed:
+            for listener in self._member_listeners:
+                listener(member)
+        self._wake.set()
+
+    async def _repair(self) -> None:
+        """Anti-entropy of configuration and membership, and probes of unconnected nodes."""
+        next_digest_s = next_stranger_s = self._now_s() + _DIGEST_INTERVAL_S
+        while True:
+            await asyncio.sleep(_ANNOUNCE_INTERVAL_S * self._rng.uniform(0.8, 1.2))
+            now_s = self._now_s()
+            self._config.retry()
+            if self._links:
+                self._config.announce_to(self._rng.choice(tuple(self._links.values())))
+            if self._links and now_s >= next_digest_s:
+                next_digest_s = now_s + _DIGEST_INTERVAL_S
+                self._send_digest(self._rng.choice(tuple(self._links.values())))
+            if now_s >= next_stranger_s:
+                next_stranger_s = now_s + _STRANGER_INTERVAL_S
+                await self._probe_stranger()
+
+    async def _probe_stranger(self) -> None:
+        strangers = [
+            member.node
+            for member in self.membership.usable()
+            if member.node not in self._links and member.node != self.membership.own.node
+        ]
+        if strangers:
+            node = self._rng.choice(strangers)
+            if not await self._reach(node):
+                self.membership.lost(self._now_s(), node)
+
+    def _region_rank(self) -> int:
+        """Position among the nodes of this region that pull from other regions."""
+        region = self._location.region
+        nodes = [member.node for member in self.membership.serving() if member.region == region]
+        return rendezvous_rank(f"pull|{region}", self.membership.own.node, nodes)
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    @staticmethod
+    def _now_s() -> float:
+        return asyncio.get_running_loop().time()
