Test the upstream client against dropped connections and late bytes

Cause: at-most-once rests on the client never sending a request twice. Change: table tests that count executions under dropped reused connections, and cover written flags, bounds, retirement, cancellation.

--- /dev/null
+++ b/anviltray/upstreams/tests/test_client.py
@@ -0,0 +1,264 @@
+"""Guards against requests that run twice, responses that reach the wrong exchange, and pools that
+outgrow their bounds."""
+
+import asyncio
+
+import pytest
+
+from anviltray.callers.tests.support import Upstream, make_settings, ok, raw
+from anviltray.upstreams import (
+    ConnectFailed,
+    ConnectionsExhausted,
+    ExchangeBroken,
+    InvalidResponse,
+    SilentObserver,
+    UpstreamClient,
+    UpstreamError,
+    UpstreamRequest,
+)
+
+GET = UpstreamRequest("GET", "/", ())
+POST = UpstreamRequest("POST", "/", (), b"order", unrepeatable=True)
+
+
+class Observer(SilentObserver):
+    def __init__(self):
+        self.fresh, self.written = None, False
+
+    def connection(self, fresh):
+        self.fresh = fresh
+
+    def writing(self):
+        self.written = True
+
+
+def run(test, answer, **settings):
+    """Runs `test(client, upstream)` against an upstream with that answer."""
+
+    async def main():
+        async with Upstream(answer) as upstream:
+            client = UpstreamClient(make_settings(upstreams=settings).upstreams)
+            try:
+                await asyncio.wait_for(test(client, upstream), 20)
+            finally:
+                await client.close()
+
+    asyncio.run(main())
+
+
+async def exchange(client, address, request=GET):
+    observer = Observer()
+    response = await client.send(address, request, observer)
+    try:
+        return response, await response.read(1 << 20), observer
+    finally:
+        response.close()
+
+
+@pytest.mark.parametrize("method", ["GET", "HEAD", "PUT", "DELETE", "POST"])
+def test_a_dropped_reused_connection_runs_no_request_twice(method):
+    async def answer(request, writer):
+        if len(upstream_requests) % 2 == 0:
+            writer.close()  # The request was received; the response is lost.
+            return False
+        return await ok()(request, writer)
+
+    upstream_requests = []
+
+    async def test(client, upstream):
+        nonlocal upstream_requests
+        upstream_requests = upstream.requests
+        request = UpstreamRequest(method, "/", ())
+        for sent in range(1, 7):
+            try:
+                await exchange(client, upstream.address, request)
+            except ExchangeBroken as error:
+                assert error.written
+            assert len(upstream.requests) == sent
+
+    run(test, answer)
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.02])
+def test_a_closed_idle_connection_is_found_before_a_byte_is_written(pause_s):
+    async def test(client, upstream):
+        for _ in range(5):
+            await exchange(client, upstream.address, POST)
+            await asyncio.sleep(0.02 + pause_s)
+        assert len(upstream.requests) == upstream.connections == 5
+
+    run(test, raw(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+
+
+def test_late_bytes_never_answer_the_next_request():
+    """An upstream that answers twice must not have its second response matched to a request."""
+    count = 0
+
+    async def answer(request, writer):
+        nonlocal count
+        count += 1
+        body = b"%03d" % count
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" + body)
+        await writer.drain()
+        await asyncio.sleep(0.01)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+
+    async def test(client, upstream):
+        for number in range(1, 6):
+            _, body, _ = await exchange(client, upstream.address)
+            assert body == b"%03d" % number
+            await asyncio.sleep(0.03)
+
+    run(test, answer)
+
+
+def test_an_abandoned_exchange_closes_its_connection():
+    async def answer(request, writer):
+        await asyncio.sleep(0.2)
+        return await ok(b"late")(request, writer)
+
+    async def test(client, upstream):
+        observer = Observer()
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await client.send(upstream.address, GET, observer)
+        assert observer.written
+        assert client.open_connections(upstream.address) == 0
+        upstream.answer = ok(b"own")
+        _, body, observer = await exchange(client, upstream.address)
+        assert body == b"own" and observer.fresh
+
+    run(test, answer)
+
+
+CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort"
+
+
+@pytest.mark.parametrize(
+    ("answer", "error", "written"),
+    [
+        (raw(b""), ExchangeBroken, True),
+        (raw(b"HTTP/1.1 200 OK\r\nConte"), ExchangeBroken, True),
+        (raw(b"nonsense\r\n\r\n"), ExchangeBroken, True),
+        (raw(CUT), ExchangeBroken, True),
+        (raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"), ExchangeBroken, True),
+        (raw(b"HTTP/1.1 200 OK\r\n\r\nuntil the end"), InvalidResponse, True),
+        (raw(b"HTTP/1.0 200 OK\r\n\r\nuntil the end"), InvalidResponse, True),
+        (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"), None, True),
+        (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+         None, True),
+        (raw(b"HTTP/1.1 999 OK\r\nContent-Length: 5\r\n\r\n"), None, True),
+    ],
+)  # fmt: skip
+def test_failures_tell_whether_a_byte_was_written(answer, error, written):
+    async def test(client, upstream):
+        with pytest.raises(error or UpstreamError) as caught:
+            await exchange(client, upstream.address)
+        assert caught.value.written is written
+        assert client.open_connections(upstream.address) == 0
+
+    run(test, answer)
+
+
+def test_a_refused_connection_is_not_written():
+    async def test(client, upstream):
+        upstream.server.close()
+        await upstream.server.wait_closed()
+        with pytest.raises(ConnectFailed) as caught:
+            await exchange(client, upstream.address)
+        assert not caught.value.written
+
+    run(test, ok())
+
+
+def test_connections_per_instance_are_bounded_by_the_share():
+    release = asyncio.Event()
+
+    async def answer(request, writer):
+        await release.wait()
+        return await ok()(request, writer)
+
+    async def test(client, upstream):
+        client.set_nodes(4)  # 12 connections among 4 nodes.
+        tasks = [asyncio.create_task(exchange(client, upstream.address)) for _ in range(5)]
+        results = await asyncio.wait(tasks, timeout=0.2)
+        assert isinstance(next(iter(results[0])).exception(), ConnectionsExhausted)
+        release.set()
+        await asyncio.gather(*results[1])
+        assert upstream.connections == 3
+        assert client.open_connections(upstream.address) == 3
+        client.set_nodes(12)
+        await exchange(client, upstream.address)
+        assert client.open_connections(upstream.address) <= 2
+
+    run(test, answer, instance_connections=12)
+
+
+def test_idle_connections_are_retired_and_unrepeatable_requests_use_young_ones():
+    async def test(client, upstream):
+        await exchange(client, upstream.address)
+        assert not (await exchange(client, upstream.address, POST))[2].fresh
+        await asyncio.sleep(0.15)
+        assert not (await exchange(client, upstream.address))[2].fresh
+        await asyncio.sleep(0.15)
+        assert (await exchange(client, upstream.address, POST))[2].fresh
+        client.retire_idle(upstream.address)
+        assert (await exchange(client, upstream.address))[2].fresh
+        await asyncio.sleep(0.8)
+        assert client.open_connections(upstream.address) == 0
+
+    run(test, ok(), idle_limit_s=0.5, unrepeatable_idle_limit_s=0.1)
+
+
+@pytest.mark.parametrize(
+    ("answer", "confirmed"),
+    [
+        (ok(b'{"outcome": "not-started"}'), True),
+        (ok(b'{"outcome": "started"}'), False),
+        (ok(b'{"outcome": "unknown"}'), False),
+        (ok(b"not-started"), False),
+        (ok(b"[]"), False),
+        (raw(b"HTTP/1.1 404 No\r\nContent-Length: 26\r\n\r\n" + b'{"outcome": "not-started"}'), False),
+        (raw(b""), False),
+    ],
+)  # fmt: skip
+def test_only_an_explicit_answer_confirms_a_cancellation(answer, confirmed):
+    async def test(client, upstream):
+        assert await client.cancel(upstream.address, "n1.1.0.a", 1.0) is confirmed
+        assert upstream.requests[0].line == "POST /cancel HTTP/1.1"
+        assert upstream.requests[0].headers["x-request-id"] == "n1.1.0.a"
+
+    run(test, answer)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (503, "X-Shed: 1", (True, False, False, None)),
+        (503, "X-Draining: 1", (True, True, False, None)),
+        (503, "X-Shed: 0", (False, False, False, None)),
+        (503, "X-Load: 0.5", (False, False, False, 0.5)),
+        (500, "X-Shed: 1", (False, False, False, None)),
+        (200, "X-Draining: true\r\nX-Load: 1.25\r\nX-Cold: 1", (False, True, True, 1.25)),
+        (200, "X-Load: much", (False, False, False, None)),
+        (200, "X-Load: nan", (False, False, False, None)),
+    ],
+)
+def test_signals_are_read_and_kept_from_the_caller(status, headers, expected):
+    async def test(client, upstream):
+        response, _, _ = await exchange(client, upstream.address)
+        assert tuple(response.signals) == expected
+        assert response.headers == [(b"content-length", b"0")]
+
+    run(test, raw(f"HTTP/1.1 {status} X\r\n{headers}\r\nContent-Length: 0\r\n\r\n".encode()))
+
+
+@pytest.mark.parametrize(
+    ("answer", "healthy"),
+    [(ok(), True), (raw(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"), False), (raw(b""), False)],
+)
+def test_probe(answer, healthy):
+    async def test(client, upstream):
+        assert await client.probe(upstream.address, 0.5) is healthy
+
+    run(test, answer)
