Add the caller stand-in

Cause: the invariants are about what a caller is told, so the tests need a caller that records it. Change: a caller that asks any node, uses the answer for its lifetime, falls back to the next address with the same identifier and records every exchange: status, outcome, whether the response was whole and whether the echo is its own. Resending inside aiohttp is switched off, since nobody would record it.

--- /dev/null
+++ b/standins/caller/_caller.py
@@ -0,0 +1,250 @@
+"""One caller of the fleet."""
+
+import asyncio
+import itertools
+import json
+import random
+from collections.abc import Sequence
+from types import TracebackType
+from typing import Any, NamedTuple, Self
+
+import aiohttp
+import xxhash
+
+# Time in which a node must answer an ask request before the next one is asked.
+_ASK_TIMEOUT_S = 2.0
+
+# Time in which a connection must open before the next address is used.
+_CONNECT_TIMEOUT_S = 1.0
+
+# Wait beyond the deadline: the node's own answer about a missed deadline must still arrive.
+_GRACE_S = 1.0
+
+
+class NoAnswer(Exception):
+    """No node answered an ask request."""
+
+
+class AskAnswer(NamedTuple):
+    """Answer of a node to an ask request."""
+
+    service: str  # Service that was asked for.
+    addresses: tuple[str, ...]  # IP:port of entry hosts, best first.
+    lifetime_s: float  # How long the answer may be used.
+    request_id_prefix: str  # Begins the identifiers of requests.
+
+
+class Try(NamedTuple):
+    """One exchange with an entry host."""
+
+    address: str  # IP:port of the entry host.
+    status: int | None  # Status of the response; None if there was none.
+    outcome: str  # Anviltray-Outcome of the response; empty without one.
+    whole: bool  # The response was received to its end.
+    own: bool | None  # Whether an echo belongs to this request; None if it was no echo.
+    upstream: str  # Instance that sent the echo; empty if it was no echo.
+    error: str  # Error of the client library; empty without one.
+
+
+class CallRecord(NamedTuple):
+    """One request and what the caller was told about it."""
+
+    request_id: str  # Identifier that was sent; empty if none was.
+    service: str  # Service name.
+    method: str  # HTTP method.
+    path: str  # Path without the query.
+    sent_s: float  # Loop time at which it was sent first.
+    ended_s: float  # Loop time at which the last try ended.
+    tries: tuple[Try, ...]  # Exchanges in order; empty if no node answered the ask request.
+
+    @property
+    def told(self) -> str:
+        """What the last try told: the outcome, or "nothing" without a whole response."""
+        if not self.tries or not self.tries[-1].whole:
+            return "nothing"
+        return self.tries[-1].outcome
+
+    @property
+    def status(self) -> int | None:
+        """Status of the last whole response."""
+        return self.tries[-1].status if self.tries and self.tries[-1].whole else None
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the last try was a whole response below 400."""
+        return self.status is not None and self.status < 400
+
+
+class Caller:
+    """Sends requests to the fleet as its callers do.
+
+    It asks any of `nodes` for entry addresses, uses the answer for its lifetime and connects
+    directly. After an exchange without a whole response it sends the same request with the same
+    identifier to the next address. Every body names its identifier, so that the digest in an echo
+    tells whose request it answers.
+    """
+
+    def __init__(
+        self, nodes: Sequence[str], region: str = "", name: str = "c", seed: int = 1
+    ) -> None:
+        self.nodes = list(nodes)
+        self._region = region
+        self._name = name
+        self._random = random.Random(seed)
+        self._numbers = itertools.count(1)
+        self._answers: dict[str, tuple[float, AskAnswer]] = {}
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        # The library resends idempotent requests on its own; each exchange must be recorded.
+        self._session._retry_connection = False
+        return self
+
+    async def __aexit__(
+        self,
+        _kind: type[BaseException] | None,
+        _error: BaseException | None,
+        _trace: TracebackType | None,
+    ) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+    async def ask(self, service: str, node: str | None = None) -> AskAnswer:
+        """Asks `node`, or the nodes in random order; raises NoAnswer."""
+        assert self._session is not None
+        errors = []
+        for address in [node] if node else self._random.sample(self.nodes, len(self.nodes)):
+            try:
+                async with self._session.get(
+                    f"http://{address}/.anviltray/ask",
+                    params={"service": service, "region": self._region},
+                    timeout=aiohttp.ClientTimeout(total=_ASK_TIMEOUT_S),
+                ) as response:
+                    if response.status != 200:
+                        errors.append(f"{address}: status {response.status}")
+                        continue
+                    data = await response.json()
+                    return AskAnswer(
+                        data["service"],
+                        tuple(data["addresses"]),
+                        float(data["lifetime_s"]),
+                        data["request_id_prefix"],
+                    )
+            except (aiohttp.ClientError, TimeoutError) as error:
+                errors.append(f"{address}: {type(error).__name__}")
+        raise NoAnswer("; ".join(errors))
+
+    async def answer(self, service: str) -> AskAnswer:
+        """Returns the answer in use, after asking again if its lifetime is over."""
+        now_s = asyncio.get_running_loop().time()
+        expires_s, answer = self._answers.get(service, (0.0, None))
+        if answer is None or expires_s <= now_s:
+            answer = await self.ask(service)
+            self._answers[service] = (now_s + answer.lifetime_s, answer)
+        return answer
+
+    def forget(self) -> None:
+        """Drops all answers, so that the next request asks again."""
+        self._answers.clear()
+
+    async def send(
+        self,
+        service: str,
+        method: str = "POST",
+        path: str = "/",
+        *,
+        body: bytes = b"",
+        size: int = 0,
+        deadline_s: float = 5.0,
+        request_id: str | None = None,
+        identify: bool = True,
+        addresses: Sequence[str] = (),
+        fall_back: bool = True,
+    ) -> CallRecord:
+        """Sends one request and returns what it was told; never raises for a failed request.
+
+        `size` asks the upstream stand-in for a response of that many bytes. `request_id` repeats
+        an earlier request, `identify=False` sends none. `addresses` replaces those of the answer.
+        """
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
+        tries: list[Try] = []
+        try:
+            if request_id is None and identify:
+                prefix = (await self.answer(service)).request_id_prefix
+                request_id = f"{prefix}.{self._name}{next(self._numbers):x}"
+            targets = list(addresses) or list((await self.answer(service)).addresses)
+        except NoAnswer:
+            return CallRecord("", service, method, path, sent_s, loop.time(), ())
+        request_id = request_id or ""
+        content = body if method == "GET" else _labelled_body(body, request_id)
+        for address in targets if fall_back else targets[:1]:
+            remaining_s = sent_s + deadline_s - loop.time()
+            if tries and remaining_s <= 0:
+                break
+            made = await self._try(address, method, path, content, size, remaining_s, request_id)
+            tries.append(made)
+            if made.whole:
+                break
+        return CallRecord(request_id, service, method, path, sent_s, loop.time(), tuple(tries))
+
+    async def _try(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        content: bytes,
+        size: int,
+        remaining_s: float,
+        request_id: str,
+    ) -> Try:
+        assert self._session is not None
+        headers = {"Anviltray-Deadline-Ms": str(max(int(remaining_s * 1000), 0))}
+        if request_id:
+            headers["Anviltray-Request-Id"] = request_id
+        status, outcome, error, received = None, "", "", b""
+        try:
+            async with self._session.request(
+                method,
+                f"http://{address}{path}",
+                params={"size": str(size)} if size else None,
+                data=content or None,
+                headers=headers,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=max(remaining_s, 0) + _GRACE_S, sock_connect=_CONNECT_TIMEOUT_S
+                ),
+            ) as response:
+                status = response.status
+                outcome = response.headers.get("Anviltray-Outcome", "")
+                received = await response.read()
+        except (aiohttp.ClientError, TimeoutError, ConnectionError) as caught:
+            error = type(caught).__name__
+        if error:
+            return Try(address, status, outcome, False, None, "", error)
+        own, upstream = _check_echo(received, method, path, content, request_id)
+        return Try(address, status, outcome, True, own, upstream, "")
+
+
+def _labelled_body(body: bytes, request_id: str) -> bytes:
+    return body + b"\n" + request_id.encode() if request_id else body
+
+
+def _check_echo(
+    received: bytes, method: str, path: str, content: bytes, request_id: str
+) -> tuple[bool | None, str]:
+    """Returns whether an echo answers this request, and its sender; None for other responses."""
+    try:
+        echo: Any = json.loads(received)
+    except ValueError:
+        return None, ""
+    if not isinstance(echo, dict) or "digest" not in echo:
+        return None, ""
+    own = (
+        echo["digest"] == xxhash.xxh3_128_hexdigest(content)
+        and echo["method"] == method
+        and echo["path"] == path
+        and (not request_id or echo["id"] == request_id)
+    )
+    return own, echo["upstream"]
