--- a/anviltray/decisions/attempts/_types.py
+++ b/anviltray/decisions/attempts/_types.py
@@ -14,7 +14,7 @@
     """A response that is kept for duplicates."""
 
     status: int  # HTTP status.
-    headers: tuple[tuple[str, str], ...]  # Header fields in order.
+    headers: tuple[tuple[bytes, bytes], ...]  # Header fields in order.
     body: bytes  # Whole body.
 
 
--- a/anviltray/node/_context.py
+++ b/anviltray/node/_context.py
@@ -5,7 +5,6 @@
 from random import Random
 
 from anviltray.callers import Outcome
-from anviltray.declarations import RetryRule, Service
 from anviltray.decisions.attempts import AttemptTable, StoredResponse
 from anviltray.decisions.draining import LeavingSet
 from anviltray.decisions.ejection import EjectionBoard
@@ -13,6 +12,7 @@
 from anviltray.decisions.limits import Admission, LinkBudget
 from anviltray.decisions.retries import RetryBudget, rule_for
 from anviltray.decisions.routing import LoadBoard, NodePlace, Router, routers
+from anviltray.declarations import RetryRule, Service
 from anviltray.messages import Member
 from anviltray.reports import BurnCounters
 from anviltray.settings import Settings
@@ -135,7 +135,7 @@
 
     def refresh_readiness(self) -> None:
         """Recomputes whether the configuration lets this node serve."""
-        self._blocked = self.store.ready_reason(self._loop.time())
+        self._blocked = self.store.ready_reason()
 
     def _new_state(self) -> _ServiceState:
         own = self.settings
--- a/anviltray/node/_operator_view.py
+++ b/anviltray/node/_operator_view.py
@@ -145,9 +145,14 @@
         self, kind: str, service: str, based_on: int, who: str, why: str, **fields: Any
     ) -> ConfigCommand:
         """Builds a command for the configuration log."""
-        common = {"based_on": based_on, "who": who, "why": why, "issued_unix_s": time.time()}
+        common: dict[str, Any] = {
+            "based_on": based_on,
+            "who": who,
+            "why": why,
+            "issued_unix_s": time.time(),
+        }
         if kind == "put":
-            return put_service(fields["service"], **common)
+            return put_service(fields["definition"], **common)
         return _BUILDERS[kind](service, **fields, **common)
 
     def count(self, event: str) -> None:
--- a/anviltray/operators/_application.py
+++ b/anviltray/operators/_application.py
@@ -194,13 +194,13 @@
         }
 
 
-def create_operator_application(context: OperatorContext, key: bytes) -> falcon.asgi.App:
+def create_operator_application(context: OperatorContext, key: bytes) -> falcon.asgi.App[Any, Any]:
     """Returns the ASGI application; an empty `key` disables authentication.
 
     Errors are JSON objects with `title` and `detail`: 400 for a wrong statement or document, 401
     for a wrong key, 503 if the log is unavailable.
     """
-    app = falcon.asgi.App(middleware=[_KeyCheck(key, context)])
+    app: falcon.asgi.App[Any, Any] = falcon.asgi.App(middleware=[_KeyCheck(key, context)])
     app.set_error_serializer(_serialize)
     app.add_route("/v1/query", _Query(context))
     app.add_route("/v1/command", _Command(context))
--- a/anviltray/operators/_commands.py
+++ b/anviltray/operators/_commands.py
@@ -60,7 +60,7 @@
     The identifiers are the issuer's with a running number.
     """
     commands = [
-        context.command("put", service.name, based_on, issuer.who, issuer.why, service=service)
+        context.command("put", service.name, based_on, issuer.who, issuer.why, definition=service)
         for service in services
     ]
     commands += [
--- a/anviltray_cli/tests/test_tool.py
+++ b/anviltray_cli/tests/test_tool.py
@@ -170,3 +170,14 @@
     assert run("report", "burn") == ExitCode.DONE
     shown = capsys.readouterr().out
     assert "2.00" in shown and "no records of a" in shown
+
+
+@pytest.mark.parametrize(("columns", "lines"), [("200", 3), ("20", 3 * 2 + 1)])
+def test_wide_rows_become_blocks(node, capsys, monkeypatch, columns, lines):
+    monkeypatch.setenv("COLUMNS", columns)
+    row = {"address": "10.0.0.1:80", "state": "ejected", "why": "x" * 30, "empty": ""}
+    node.answers["/v1/query"] = (200, {"rows": [row] * 2, "missing_nodes": []})
+    run("show", "upstreams")
+    shown = capsys.readouterr().out
+    assert len(shown.splitlines()) == lines + (1 if columns == "200" else 0)
+    assert "empty" not in shown
