--- a/anviltray/upstreams/tests/test_client.py
+++ b/anviltray/upstreams/tests/test_client.py
@@ -131,6 +131,8 @@
     run(test, answer)
 
 
+OK_HEAD = b"HTTP/1.1 200 OK\r\n"
+NOT_FOUND_HEAD = b"HTTP/1.1 404 No\r\n"
 CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort"
 
 
@@ -141,11 +143,11 @@
         (raw(b"HTTP/1.1 200 OK\r\nConte"), ExchangeBroken, True),
         (raw(b"nonsense\r\n\r\n"), ExchangeBroken, True),
         (raw(CUT), ExchangeBroken, True),
-        (raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"), ExchangeBroken, True),
+        (raw(OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab"), ExchangeBroken, True),
         (raw(b"HTTP/1.1 200 OK\r\n\r\nuntil the end"), InvalidResponse, True),
         (raw(b"HTTP/1.0 200 OK\r\n\r\nuntil the end"), InvalidResponse, True),
         (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"), None, True),
-        (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+        (raw(OK_HEAD + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
          None, True),
         (raw(b"HTTP/1.1 999 OK\r\nContent-Length: 5\r\n\r\n"), None, True),
     ],
@@ -218,7 +220,7 @@
         (ok(b'{"outcome": "unknown"}'), False),
         (ok(b"not-started"), False),
         (ok(b"[]"), False),
-        (raw(b"HTTP/1.1 404 No\r\nContent-Length: 26\r\n\r\n" + b'{"outcome": "not-started"}'), False),
+        (raw(NOT_FOUND_HEAD + b"Content-Length: 26\r\n\r\n" + b'{"outcome": "not-started"}'), False),
         (raw(b""), False),
     ],
 )  # fmt: skip
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -16,6 +16,7 @@
 from anviltray.settings import load_settings
 from anviltray.state.configuration import STREAM, encode_record, put_service
 from anviltray.telemetry import set_up_logs
+from standins._waiting import poll_until
 from standins.upstream import UpstreamOptions, UpstreamStandin
 
 _READY_LIMIT_S = 30.0
@@ -61,9 +62,8 @@
             await platform.append(STREAM, encode_record(_command(service)))
         node = Node(settings, platform)
         await node.start()
-        async with asyncio.timeout(_READY_LIMIT_S):
-            while node.context.not_ready() or not node.context.listening:
-                await asyncio.sleep(0.05)
+        context = node.context
+        await poll_until(lambda: context.listening and not context.not_ready(), _READY_LIMIT_S)
         _print_commands(settings.caller_address, settings.operator_address, services[0])
         await _interrupted()
     finally:
