Add likelihood-ratio detection, the ejection board and the leaving set

Change: detectors with a cumulative sum of log-likelihood ratios over outcomes and one over latencies plus ages in flight, both against distributions learned per service; the baseline of consecutive errors; a board that adds the evidence of all nodes, applies the floor and readmits on trial; a set of leaving upstreams. The latency evidence uses tail probabilities of the learned distribution instead of a fixed shape, since heavy tails would break a log-normal assumption.

--- /dev/null
+++ b/anviltray/decisions/detection/__init__.py
@@ -0,0 +1,27 @@
+"""Detectors: evidence about the upstreams of one service, converted into suspicions.
+
+Evidence is a log-likelihood ratio of unhealthy against healthy, so that the ratios of several
+nodes can be added.
+"""
+
+from anviltray.decisions.detection._consecutive_errors import ConsecutiveErrorsDetector
+from anviltray.decisions.detection._latency import LatencyModel
+from anviltray.decisions.detection._likelihood import LikelihoodRatioDetector
+from anviltray.decisions.detection._types import (
+    SENSITIVITIES,
+    Detector,
+    Reading,
+    Sensitivity,
+    detectors,
+)
+
+__all__ = [
+    "SENSITIVITIES",
+    "ConsecutiveErrorsDetector",
+    "Detector",
+    "LatencyModel",
+    "LikelihoodRatioDetector",
+    "Reading",
+    "Sensitivity",
+    "detectors",
+]
--- /dev/null
+++ b/anviltray/decisions/ejection/__init__.py
@@ -0,0 +1,16 @@
+"""Ejection: which upstreams of a service a node routes to, within the floor."""
+
+from anviltray.decisions.ejection._board import EjectionBoard
+from anviltray.decisions.ejection._floor import Candidate, floor_slots, select
+from anviltray.decisions.ejection._member import MemberState
+from anviltray.decisions.ejection._types import BoardUpdate, StateChange
+
+__all__ = [
+    "BoardUpdate",
+    "Candidate",
+    "EjectionBoard",
+    "MemberState",
+    "StateChange",
+    "floor_slots",
+    "select",
+]
--- /dev/null
+++ b/anviltray/decisions/ejection/_floor.py
@@ -0,0 +1,65 @@
+"""The floor: which suspected upstreams may be removed."""
+
+from collections.abc import Collection, Sequence
+from math import ceil
+from typing import NamedTuple
+
+from xxhash import xxh3_64_intdigest
+
+from anviltray.declarations import Service
+
+
+class Candidate(NamedTuple):
+    """One upstream that is neither leaving nor taken out by an operator."""
+
+    address: str  # IP:port of the upstream.
+    slots: int  # Requests that it runs at the same time.
+    counted: bool  # Healthy capacity: reachable, not warming, not on trial after an ejection.
+    suspicion: int  # Quantised suspicion; 0 if the upstream is not to be removed.
+
+
+def floor_slots(service: Service) -> int:
+    """Returns the least healthy capacity in slots that ejection leaves to a service."""
+    declared = sum(upstream.slots for upstream in service.upstreams)
+    # The tolerance keeps 0.1 * 30 from being rounded up to 4.
+    return max(service.floor_slots, ceil(service.floor_share * declared - 1e-9))
+
+
+def select(
+    candidates: Sequence[Candidate], floor: int, heard: Collection[str] = ()
+) -> frozenset[str]:
+    """Returns the addresses that are removed.
+
+    The counted slots that remain are at least `floor`; if all candidates together have fewer,
+    nothing is removed. The most suspect go first, ties are broken by hash, so that nodes with
+    equal evidence choose equally. Capacity that peers have ejected (`heard`) counts as gone for
+    upstreams that are not suspected here.
+
+    Example: of three upstreams with 4 slots each and suspicions 3, 2 and 0, a floor of 8 removes
+    only the first.
+    """
+    capacity = sum(candidate.slots for candidate in candidates if candidate.counted)
+    if capacity < floor:
+        return frozenset()
+    elsewhere = sum(
+        candidate.slots
+        for candidate in candidates
+        if candidate.counted and not candidate.suspicion and candidate.address in heard
+    )
+    spare = capacity - floor - elsewhere
+    removed = []
+    for candidate in sorted(
+        (candidate for candidate in candidates if candidate.suspicion), key=_rank
+    ):
+        cost = candidate.slots if candidate.counted else 0
+        if cost <= spare or not cost:
+            spare -= cost
+            removed.append(candidate.address)
+    # A floor of 0 would allow to remove the last upstream.
+    if len(removed) == len(candidates):
+        removed.pop()
+    return frozenset(removed)
+
+
+def _rank(candidate: Candidate) -> tuple[int, int]:
+    return -candidate.suspicion, xxh3_64_intdigest(candidate.address.encode())
--- /dev/null
+++ b/measure/detection.py
@@ -0,0 +1,219 @@
+"""Detection time and false ejections of the policies in virtual time, with fixed seeds.
+
+Run as `python -m measure.detection`. Progress goes to stderr, rows to stdout.
+"""
+
+import sys
+from collections.abc import Callable, Iterable
+from concurrent.futures import ProcessPoolExecutor
+from random import Random
+from statistics import quantiles
+
+from tabulate import tabulate
+
+from anviltray.decisions import ExchangeOutcome
+from measure._fleet import DEADLINE_S, MEDIAN_S, NEVER, SIGMA, Answer, Fleet, declare, healthy
+
+Row = tuple[str, float, str]
+
+SETTINGS = {"noorani": "fast", "vatuloa": "careful"}
+FAULTS = ("stall", "errors", "slow")
+TRIALS = 200
+WARM_UP_S = 15.0
+LIMIT_S = 30.0
+WORKERS = 5
+
+
+def faulty(kind: str, victim: int, since_s: float) -> Callable[[float, int, int, Random], Answer]:
+    """Returns the behaviour of upstreams of which one has a fault from a time on."""
+
+    def behave(now_s: float, node: int, upstream: int, rng: Random) -> Answer:
+        answer = healthy(now_s, node, upstream, rng)
+        if upstream != victim:
+            return answer
+        if kind == "stall":
+            if now_s + answer.end_s < since_s:
+                return answer
+            first_s = answer.first_byte_s if now_s + answer.first_byte_s < since_s else DEADLINE_S
+            return Answer(first_s, DEADLINE_S, ExchangeOutcome.TIMED_OUT)
+        if now_s < since_s:
+            return answer
+        if kind == "slow":
+            return Answer(answer.first_byte_s * 10, answer.end_s * 10, answer.outcome)
+        if rng.random() < 0.5:
+            return answer._replace(outcome=ExchangeOutcome.SERVER_ERROR)
+        return answer
+
+    return behave
+
+
+def trial(
+    kind: str, sensitivity: str, seed: int, nodes: int, rate: float, detector: str
+) -> tuple[float, float, int]:
+    """Returns detection time, time of the first request after the fault, floor violations."""
+    victim = seed % 8
+    since_s = WARM_UP_S + Random(seed).random()
+    fleet = Fleet(declare(sensitivity), nodes, rate, faulty(kind, victim, since_s), seed, detector)
+    fleet.run(since_s)
+    fleet.first_sent_s[victim] = NEVER
+    fleet.last_sent_s[victim] = since_s
+    fleet.run(
+        since_s + LIMIT_S,
+        lambda: not any(fleet.routes_to(node, victim) for node in range(nodes)),
+    )
+    if any(fleet.routes_to(node, victim) for node in range(nodes)):
+        detected_s = NEVER
+    else:
+        detected_s = fleet.last_sent_s[victim] - since_s
+    first_s = fleet.first_sent_s[victim] - since_s
+    return detected_s, first_s, fleet.floor_violations
+
+
+def _trial(arguments: tuple[str, str, int, int, float, str]) -> tuple[float, float, int]:
+    return trial(*arguments)
+
+
+def percentiles(values: Iterable[float]) -> tuple[float, float]:
+    """Returns the median and the 99th percentile."""
+    ordered = sorted(min(value, LIMIT_S) for value in values)
+    cuts = quantiles(ordered, n=100, method="inclusive")
+    return cuts[49], cuts[98]
+
+
+def detection_rows(
+    suffix: str,
+    sensitivity: str,
+    *,
+    nodes: int = 4,
+    rate: float = 100.0,
+    detector: str = "likelihood_ratio",
+    trials: int = TRIALS,
+) -> list[Row]:
+    """Returns the detection times of every fault; LIMIT_S stands for not detected."""
+    rows: list[Row] = []
+    violations = 0
+    with ProcessPoolExecutor(WORKERS) as pool:
+        for kind in FAULTS:
+            jobs = [(kind, sensitivity, seed, nodes, rate, detector) for seed in range(trials)]
+            results = list(pool.map(_trial, jobs, chunksize=8))
+            p50_s, p99_s = percentiles(result[0] for result in results)
+            rows.append((f"detect_{kind}_p50_s_{suffix}", p50_s, "s"))
+            rows.append((f"detect_{kind}_p99_s_{suffix}", p99_s, "s"))
+            violations += sum(result[2] for result in results)
+            print(f"{suffix} {kind}: {p50_s:.3f} {p99_s:.3f}", file=sys.stderr, flush=True)
+            if kind == "stall":
+                first = percentiles(result[1] for result in results)
+                rows.append((f"first_request_p50_s_{suffix}", first[0], "s"))
+                rows.append((f"first_request_p99_s_{suffix}", first[1], "s"))
+    rows.append((f"floor_violations_{suffix}", float(violations), ""))
+    return rows
+
+
+class OrdinaryDay:
+    """Healthy upstreams with everything that must not be taken for a fault.
+
+    One request in 100 has a Pareto tail (exponent 1.5) from five times the median; one in 1,000
+    fails. An upstream sheds half its requests for 20 s every half hour and starts cold, ten times
+    slower at first, every hour. One node has trouble on its own side for 3 s every hour: its
+    requests stall, or three in ten do, or all take 0.2 s longer. One caller in 100 is slow.
+    """
+
+    def __init__(self, seed: int, offset_s: float) -> None:
+        self._random = Random(seed)
+        self._offset_s = offset_s
+
+    def __call__(self, now_s: float, node: int, upstream: int, rng: Random) -> Answer:
+        time_s = now_s + self._offset_s
+        if (time_s + 225 * upstream) % 1800 < 20 and rng.random() < 0.5:
+            return Answer(0.001, 0.001, ExchangeOutcome.REFUSED)
+        latency_s = MEDIAN_S * rng.lognormvariate(0.0, SIGMA)
+        if rng.random() < 0.01:
+            latency_s = min(5 * MEDIAN_S * rng.paretovariate(1.5), 10.0)
+        cold_s = (time_s + 450 * upstream + 100) % 3600
+        cold = cold_s < 5
+        if cold:
+            latency_s *= 1 + 9 * (1 - cold_s / 5)
+        first_s = latency_s * 0.9
+        outcome = ExchangeOutcome.OK if rng.random() > 0.001 else ExchangeOutcome.SERVER_ERROR
+        trouble_s = (time_s + 900 * node + 300) % 3600
+        if trouble_s < 3:
+            kind = int((time_s + 900 * node + 300) // 3600) % 3
+            if kind == 2:
+                latency_s += 0.2
+                first_s += 0.2
+            elif kind == 0 or rng.random() < 0.3:
+                return Answer(8.0, 8.0, ExchangeOutcome.BROKEN)
+        if rng.random() < 0.01:
+            return Answer(first_s, latency_s + 3.0, ExchangeOutcome.ABANDONED, cold)
+        return Answer(first_s, latency_s, outcome, cold)
+
+
+def _ordinary(
+    arguments: tuple[str, int, float, float, float, str],
+) -> tuple[list[tuple[float, str, str, str]], int, int, int]:
+    sensitivity, seed, offset_s, length_s, rate, detector = arguments
+    fleet = Fleet(declare(sensitivity), 4, rate, OrdinaryDay(seed, offset_s), seed, detector)
+    fleet.run(length_s)
+    removals = [
+        (time_s + offset_s, change.address, f"n{node} {change.after}", change.reason)
+        for time_s, node, change in fleet.changes
+        if change.after in ("avoided", "ejected")
+    ]
+    return removals, fleet.requests, fleet.floor_violations, fleet.messages
+
+
+def false_ejection_rows(
+    suffix: str,
+    sensitivity: str,
+    *,
+    hours: float = 24.0,
+    rate: float = 10.0,
+    detector: str = "likelihood_ratio",
+) -> list[Row]:
+    """Returns the removals of healthy upstreams; nodes that agree within 10 s count once."""
+    parts = max(1, int(hours))
+    length_s = hours * 3600 / parts
+    jobs = [(sensitivity, part, part * length_s, length_s, rate, detector) for part in range(parts)]
+    incidents = 0
+    removals = requests = violations = messages = 0
+    with ProcessPoolExecutor(WORKERS) as pool:
+        for part, result in enumerate(pool.map(_ordinary, jobs)):
+            last: dict[str, float] = {}
+            for time_s, address, state, reason in result[0]:
+                removals += 1
+                if time_s - last.get(address, -NEVER) > 10.0:
+                    incidents += 1
+                last[address] = time_s
+                print(f"{suffix} {time_s:.1f} {address} {state}: {reason}", file=sys.stderr)
+            requests += result[1]
+            violations += result[2]
+            messages += result[3]
+            print(f"{suffix} part {part + 1} of {parts}", file=sys.stderr, flush=True)
+    label = "24h" if hours == 24 else f"{hours:g}h"
+    return [
+        (f"false_ejections_{label}_{suffix}", float(incidents), ""),
+        (f"false_removals_by_node_{label}_{suffix}", float(removals), ""),
+        (f"requests_{label}_{suffix}", float(requests), ""),
+        (f"messages_per_node_s_{label}_{suffix}", messages / 4 / hours / 3600, "1/s"),
+        (f"floor_violations_{label}_{suffix}", float(violations), ""),
+    ]
+
+
+def main() -> None:
+    """Prints the rows of the parts that are named on the command line, or of all."""
+    parts = sys.argv[1:] or ["detection", "lone", "baseline", "day", "full"]
+    rows: list[Row] = []
+    for suffix, sensitivity in SETTINGS.items():
+        if "detection" in parts:
+            rows += detection_rows(suffix, sensitivity)
+        if "lone" in parts:
+            rows += detection_rows(f"lone_{suffix}", sensitivity, nodes=1, rate=20.0)
+        if "day" in parts:
+            rows += false_ejection_rows(suffix, sensitivity)
+        if "full" in parts:
+            rows += false_ejection_rows(suffix, sensitivity, hours=1.0, rate=100.0)
+    print(tabulate(rows, headers=("name", "value", "unit"), floatfmt=".3f"))
+
+
+if __name__ == "__main__":
+    main()
