--- a/anviltray/upstreams/tests/test_client.py
+++ b/anviltray/upstreams/tests/test_client.py
@@ -132,7 +132,7 @@
 
 
 OK_HEAD = b"HTTP/1.1 200 OK\r\n"
-NOT_FOUND_HEAD = b"HTTP/1.1 404 No\r\n"
+NOT_FOUND = b"HTTP/1.1 404 No\r\n"
 CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort"
 
 
@@ -220,7 +220,7 @@
         (ok(b'{"outcome": "unknown"}'), False),
         (ok(b"not-started"), False),
         (ok(b"[]"), False),
-        (raw(NOT_FOUND_HEAD + b"Content-Length: 26\r\n\r\n" + b'{"outcome": "not-started"}'), False),
+        (raw(NOT_FOUND + b"Content-Length: 26\r\n\r\n" + b'{"outcome": "not-started"}'), False),
         (raw(b""), False),
     ],
 )  # fmt: skip
