--- a/standins/caller/_caller.py
+++ b/standins/caller/_caller.py
@@ -126,7 +126,7 @@
                         continue
                     data = await response.json()
                     return AskAnswer(
-                        data["service"],
+                        service,
                         tuple(data["addresses"]),
                         float(data["lifetime_s"]),
                         data["request_id_prefix"],
--- a/standins/upstream/__main__.py
+++ b/standins/upstream/__main__.py
@@ -1,6 +1,9 @@
 """Process entry point: `python -m standins.upstream --listen IP:PORT --control IP:PORT`."""
 
 import asyncio
+import os
+from collections.abc import Callable
+from pathlib import Path
 
 import defopt
 
@@ -21,6 +24,7 @@
     seed: int = 1,
     cold_s: float = 0.0,
     report_lag_s: float = 2.0,
+    executions: Path | None = None,
 ) -> None:
     """Runs one upstream and prints `ready ADDRESS CONTROL_ADDRESS` when it accepts calls.
 
@@ -34,6 +38,8 @@
     :param seed: Seed of service times and faults.
     :param cold_s: Time from the start until service times are normal.
     :param report_lag_s: Age of what the health and load endpoints report.
+    :param executions: File to which the identifier of each execution is appended as a line before
+        it starts, so that the count survives a kill.
     """
     options = UpstreamOptions(
         name=name,
@@ -45,11 +51,20 @@
         cold_s=cold_s,
         report_lag_s=report_lag_s,
     )
-    asyncio.run(_serve(options, listen, control))
+    asyncio.run(_serve(options, listen, control, executions))
 
 
-async def _serve(options: UpstreamOptions, listen: str, control: str) -> None:
-    standin = UpstreamStandin(options, listen, control)
+async def _serve(
+    options: UpstreamOptions, listen: str, control: str, executions: Path | None
+) -> None:
+    record: Callable[[str], None] | None = None
+    if executions is not None:
+        descriptor = os.open(executions, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+
+        def record(request_id: str) -> None:
+            os.write(descriptor, f"{request_id}\n".encode())
+
+    standin = UpstreamStandin(options, listen, control, record)
     print(f"ready {await standin.start()} {standin.control_address}", flush=True)
     await run_until_signal()
     await standin.close()
--- a/standins/upstream/_application.py
+++ b/standins/upstream/_application.py
@@ -4,7 +4,7 @@
 import functools
 import json
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import falcon
 import falcon.asgi
@@ -44,8 +44,9 @@
         options: UpstreamOptions,
         address: str = "127.0.0.1:0",
         control_address: str = "127.0.0.1:0",
+        record: Callable[[str], None] | None = None,
     ) -> None:
-        self.engine = Engine(options)
+        self.engine = Engine(options, record)
         self._server = HttpServer(self._application(echo=True), address, options.connections)
         self._control = HttpServer(self._application(echo=False), control_address)
         self._flapping: asyncio.Task[None] | None = None
--- a/standins/upstream/_engine.py
+++ b/standins/upstream/_engine.py
@@ -4,6 +4,7 @@
 import math
 import random
 from collections import Counter, deque
+from collections.abc import Callable
 
 from standins._waiting import poll_until
 from standins.upstream._options import Faults, UpstreamOptions
@@ -27,11 +28,15 @@
     """Runs requests on the slots of one instance.
 
     A request is counted as executed at the moment it starts. It starts only with its whole body,
-    a free slot, time left before its deadline and no cancellation.
+    a free slot, time left before its deadline and no cancellation. `record` is called with its
+    identifier at that moment.
     """
 
-    def __init__(self, options: UpstreamOptions) -> None:
+    def __init__(
+        self, options: UpstreamOptions, record: Callable[[str], None] | None = None
+    ) -> None:
         self.options = options
+        self._record_execution = record
         self.executions: Counter[str] = Counter()
         self.arrivals = 0
         self.refusals: Counter[str] = Counter()
@@ -145,6 +150,8 @@
         try:
             request.started = True
             self.executions[request.request_id] += 1
+            if self._record_execution is not None:
+                self._record_execution(request.request_id)
             try:
                 await asyncio.wait_for(request.cancelled.wait(), self._service_time_s())
             except TimeoutError:
