Start nodes in the launcher's tests

Change: the caller accepts a prefix with or without its last dot; a test starts four nodes in two regions, sends an unrepeatable order twice with one identifier and counts one execution. Conclusion: the launcher brings up whole fleets; failure scenarios can follow.

--- a/standins/caller/_caller.py
+++ b/standins/caller/_caller.py
@@ -173,6 +173,8 @@
         try:
             if request_id is None and identify:
                 prefix = (await self.answer(service)).request_id_prefix
+                # A node's prefix ends with the dot that separates it from the suffix, or lacks it.
+                prefix = prefix.removesuffix(".")
                 request_id = f"{prefix}.{self._name}{next(self._numbers):x}"
             targets = list(addresses) or list((await self.answer(service)).addresses)
         except NoAnswer:
--- a/standins/tests/test_caller.py
+++ b/standins/tests/test_caller.py
@@ -26,6 +26,7 @@
         self.addresses = []
         self.seen = []
         self.asked = 0
+        self.prefix_end = ""
         application = falcon.asgi.App()
         application.add_route("/.anviltray/ask", self)
         application.add_sink(self.handle, "/")
@@ -37,7 +38,7 @@
             "service": request.get_param("service"),
             "addresses": self.addresses,
             "lifetime_s": self.lifetime_s,
-            "request_id_prefix": f"n.1.{self.asked}",
+            "request_id_prefix": f"n.1.{self.asked}{self.prefix_end}",
         }
 
     async def handle(self, req, resp, **_):
@@ -199,3 +200,15 @@
         assert len(result.records) + result.skipped == arrivals
 
     run(scenario, "slow")
+
+
+@pytest.mark.parametrize("prefix_end", ["", "."])
+def test_identifiers_have_exactly_one_dot_before_the_suffix(prefix_end):
+    """Guards against identifiers that a node refuses as made up."""
+
+    async def scenario(caller, nodes):
+        nodes[0].prefix_end = prefix_end
+        await caller.send("order-desk")
+        assert nodes[0].seen == ["n.1.1.c1"]
+
+    run(scenario, "echo")
--- a/standins/tests/test_fleet.py
+++ b/standins/tests/test_fleet.py
@@ -121,6 +121,33 @@
     asyncio.run(scenario())
 
 
+def test_nodes_serve_callers_of_both_regions():
+    """Guards against a launcher whose settings, declarations or identifiers nodes refuse."""
+
+    async def scenario(fleet):
+        await fleet.start_nodes()
+        for region in ("viti", "vanua"):
+            async with fleet.caller(region, name=region) as caller:
+                record = await caller.send("supply-yard", "POST", "/supply/orders", body=b"clay")
+                assert (record.told, record.status) == ("done", 200), record
+                assert record.tries[0].own
+                assert fleet.executions()[record.request_id] == 1
+                again = await caller.send(
+                    "supply-yard",
+                    "POST",
+                    "/supply/orders",
+                    body=b"clay",
+                    request_id=record.request_id,
+                )
+                assert again.told == "done" and again.tries[-1].own
+                assert fleet.executions()[record.request_id] == 1
+        answer = await fleet.query(fleet.nodes["viti-a-1"], "show nodes")
+        assert answer["status"] == 200 and len(answer["rows"]) == 4
+        assert answer["missing_nodes"] == []
+
+    run(scenario, small_plan())
+
+
 def test_all_processes_end_when_a_test_fails():
     seen = []
 
