--- a/standins/caller/_caller.py
+++ b/standins/caller/_caller.py
@@ -31,7 +31,7 @@
     service: str  # Service that was asked for.
     addresses: tuple[str, ...]  # IP:port of entry hosts, best first.
     lifetime_s: float  # How long the answer may be used.
-    request_id_prefix: str  # The caller appends its own suffix.
+    request_id_prefix: str  # Begins the identifiers of requests.
 
 
 class Try(NamedTuple):
@@ -126,7 +126,7 @@
                         continue
                     data = await response.json()
                     return AskAnswer(
-                        data["service"],
+                        service,
                         tuple(data["addresses"]),
                         float(data["lifetime_s"]),
                         data["request_id_prefix"],
@@ -173,7 +173,9 @@
         try:
             if request_id is None and identify:
                 prefix = (await self.answer(service)).request_id_prefix
-                request_id = f"{prefix}{self._name}{next(self._numbers):x}"
+                # A node's prefix ends with the dot that separates it from the suffix, or lacks it.
+                prefix = prefix.removesuffix(".")
+                request_id = f"{prefix}.{self._name}{next(self._numbers):x}"
             targets = list(addresses) or list((await self.answer(service)).addresses)
         except NoAnswer:
             return CallRecord("", service, method, path, sent_s, loop.time(), ())
