Test the caller side and correct what the tests found

Cause: the failure and input paths had no tests. Found and corrected: a response with an invalid chunk left its reader waiting for the deadline, since aiohttp reports it to the reader of the next head only; OPTIONS * gave 500; a request line with HTTP/2.0 was served; a deadline that passed because the caller did not read counted against the upstream.

--- a/anviltray/callers/_call.py
+++ b/anviltray/callers/_call.py
@@ -10,6 +10,10 @@
 from anviltray.callers._problems import Problem
 from anviltray.declarations import RetryRule, Service
 
+# A deadline that passes after the response has waited for the caller for more than this part of the
+# time is the caller's doing and no evidence against the upstream.
+BLOCKED_SHARE = 0.1
+
 
 class Call:
     """One request of a caller."""
@@ -78,7 +82,8 @@
     def expire(self) -> None:
         """Ends the current step because its time is over."""
         self.timed_out = True
-        self.blocked = self.exchange.blocked_since is not None
+        elapsed_s = self.deadline_s - self.started_s
+        self.blocked = self.exchange.blocked_s() > BLOCKED_SHARE * elapsed_s
         if self.task is not None:
             self.task.cancel()
 
--- a/anviltray/callers/_exchange.py
+++ b/anviltray/callers/_exchange.py
@@ -55,6 +55,7 @@
         self.on_disconnect: Callable[[], None] | None = None
         self.waiting_since: float | None = None  # Waits for the caller's body since then.
         self.blocked_since: float | None = None  # Waits for the caller to read since then.
+        self._blocked_s = 0.0  # Time spent so far in such waits.
         self._chunked = False
 
     @property
@@ -63,6 +64,12 @@
         client = self.scope["client"]
         return client[0] if client else ""
 
+    def blocked_s(self) -> float:
+        """Returns how long the response has waited for the caller to read."""
+        if self.blocked_since is None:
+            return self._blocked_s
+        return self._blocked_s + self.protocol.loop.time() - self.blocked_since
+
     def fail_input(self, error: InputError) -> None:
         """Ends the request body with an error."""
         self.input_error = error
@@ -160,6 +167,7 @@
 
     def abort(self) -> None:
         """Resets the connection, so that a response that was cut short cannot look complete."""
+        self.disconnected = True
         if self.transport.is_closing():
             return
         sock = self.transport.get_extra_info("socket")
@@ -190,11 +198,12 @@
         return (chunk,)
 
     async def _drain(self) -> None:
-        self.blocked_since = self.protocol.loop.time()
+        self.blocked_since = since = self.protocol.loop.time()
         try:
             await self.flow.drain()
         finally:
             self.blocked_since = None
+            self._blocked_s += self.protocol.loop.time() - since
 
     def _complete(self) -> None:
         self.response_complete = True
--- a/anviltray/callers/_protocol.py
+++ b/anviltray/callers/_protocol.py
@@ -30,6 +30,7 @@
 SHUTDOWN_GRACE_S = 0.1
 
 _BAD_FRAMING = Problem(400, "bad-request", "the request is not valid HTTP", close=True)
+_BAD_VERSION = Problem(505, "http-version", "only HTTP/1.1 and HTTP/1.0 are served", close=True)
 _HEAD_TOO_LARGE = Problem(431, "head-too-large", "the request head is too large", close=True)
 _HEAD_TOO_SLOW = Problem(408, "head-timeout", "the request head took too long", close=True)
 _BODY_TOO_SLOW = Problem(408, "body-timeout", "the request body took too long", close=True)
@@ -125,12 +126,18 @@
         parser = self.parser
         scope = self.scope
         http_version = parser.get_http_version()
+        if http_version not in ("1.1", "1.0"):
+            self._rejection = _BAD_VERSION
+            return
         scope["method"] = parser.get_method().decode("ascii")
         if http_version != "1.1":
             scope["http_version"] = http_version
         # An invalid target raises an error that the parser passes on as HttpParserError.
         url = httptools.parse_url(self.url)
         raw_path = url.path
+        if not raw_path.startswith(b"/"):
+            self._rejection = _BAD_FRAMING  # The asterisk form of OPTIONS has no service.
+            return
         path = raw_path.decode("ascii")
         if "%" in path:
             path = urllib.parse.unquote(path, errors="strict")
--- a/anviltray/callers/tests/support.py
+++ b/anviltray/callers/tests/support.py
@@ -3,8 +3,7 @@
 import asyncio
 import contextlib
 import itertools
-import random
-from typing import NamedTuple
+from collections import namedtuple
 
 from anviltray.callers import bind, create_application, serve
 from anviltray.decisions import RoutableSet, RoutableUpstream
@@ -12,52 +11,19 @@
 from anviltray.settings import build_settings
 from anviltray.upstreams import UpstreamClient
 
-
-class Admitted(NamedTuple):
-    pass
-
-
-class Queued(NamedTuple):
-    pass
-
-
-class Refused(NamedTuple):
-    retry_after_s: float
-
-
-class Start(NamedTuple):
-    request_id: str
-
-
-class InProgress(NamedTuple):
-    pass
-
-
-class Replay(NamedTuple):
-    response: object
-
-
-class Known(NamedTuple):
-    outcome: str
-
-
-class Forward(NamedTuple):
-    node: str
-    incarnation: str
-
-
-class Refuse(NamedTuple):
-    reason: str
-
-
-class Expired(NamedTuple):
-    pass
-
-
-class Stored(NamedTuple):
-    status: int
-    headers: tuple
-    body: bytes
+# Results of the decision objects; the application tells them apart by these names.
+Admitted = namedtuple("Admitted", "")
+Queued = namedtuple("Queued", "")
+Refused = namedtuple("Refused", "retry_after_s")
+Start = namedtuple("Start", "request_id")
+InProgress = namedtuple("InProgress", "")
+Replay = namedtuple("Replay", "response")
+Known = namedtuple("Known", "outcome")
+Forward = namedtuple("Forward", "node incarnation")
+Refuse = namedtuple("Refuse", "reason")
+Stored = namedtuple("Stored", "status headers body")
+Request = namedtuple("Request", "line headers body")
+Response = namedtuple("Response", "status headers body")
 
 
 class FakeBoard:
@@ -326,12 +292,6 @@
         writer.close()
 
 
-class Request(NamedTuple):
-    line: str
-    headers: dict
-    body: bytes
-
-
 def parse_fields(lines):
     fields = (line.split(": ", 1) for line in lines if line)
     return {name.lower(): value for name, value in fields}
@@ -354,12 +314,6 @@
     return await reader.readexactly(int(headers.get("content-length", 0)))
 
 
-class Response(NamedTuple):
-    status: int
-    headers: dict
-    body: bytes
-
-
 async def read_response(reader, method="GET"):
     """Returns a whole response; raises IncompleteReadError or ConnectionError for a cut one."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
@@ -408,7 +362,3 @@
         return not then_close
 
     return answer
-
-
-def seeded(seed):
-    return random.Random(seed)
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -1,14 +1,30 @@
 """Connections to upstreams: which idle one may be reused, and how many may be open."""
 
+import functools
 import select
 from time import monotonic
 
-from aiohttp import ClientTimeout, TCPConnector
+from aiohttp import ClientPayloadError, ClientTimeout, TCPConnector
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest, ConnectionKey
 from aiohttp.connector import Connection
 
 
+class _ResponseHandler(ResponseHandler):
+    """Ends the body of a response when the rest of it cannot be parsed.
+
+    aiohttp reports an invalid chunk to the reader of the next head only, and the reader of the
+    body would wait for its deadline.
+    """
+
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        """Sets the error for the readers of the head and of the body."""
+        payload = self._payload
+        super().set_exception(exc, *cause)
+        if payload is not None and not payload.is_eof() and payload.exception() is None:
+            payload.set_exception(ClientPayloadError(f"the response body is invalid: {exc}"))
+
+
 class UpstreamConnector(TCPConnector):
     """aiohttp's pool with a bound per instance and a choice by idle time.
 
@@ -26,6 +42,7 @@
             use_dns_cache=False,
             keepalive_timeout=idle_limit_s / 4,
         )
+        self._factory = functools.partial(_ResponseHandler, loop=self._loop)  # type: ignore[assignment]
         self._idle_limit_s = idle_limit_s
         self.connections_per_instance = connections_per_instance
         self._open: dict[ConnectionKey, int] = {}  # Connections in use or being opened.
--- a/anviltray/upstreams/tests/test_client.py
+++ b/anviltray/upstreams/tests/test_client.py
@@ -132,6 +132,9 @@
 
 
 CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+TWO_LENGTHS = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"
+NOT_FOUND = b"HTTP/1.1 404 No\r\nContent-Length: 26\r\n\r\n" + b'{"outcome": "not-started"}'
 
 
 @pytest.mark.parametrize(
@@ -141,18 +144,17 @@
         (raw(b"HTTP/1.1 200 OK\r\nConte"), ExchangeBroken, True),
         (raw(b"nonsense\r\n\r\n"), ExchangeBroken, True),
         (raw(CUT), ExchangeBroken, True),
-        (raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"), ExchangeBroken, True),
+        (raw(CHUNKED + b"\r\n5\r\nab"), ExchangeBroken, True),
         (raw(b"HTTP/1.1 200 OK\r\n\r\nuntil the end"), InvalidResponse, True),
         (raw(b"HTTP/1.0 200 OK\r\n\r\nuntil the end"), InvalidResponse, True),
-        (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"), None, True),
-        (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
-         None, True),
-        (raw(b"HTTP/1.1 999 OK\r\nContent-Length: 5\r\n\r\n"), None, True),
+        (raw(TWO_LENGTHS), UpstreamError, True),
+        (raw(CHUNKED + b"Content-Length: 1\r\n\r\n0\r\n\r\n"), UpstreamError, True),
+        (raw(b"HTTP/1.1 999 OK\r\nContent-Length: 5\r\n\r\n"), InvalidResponse, True),
     ],
-)  # fmt: skip
+)
 def test_failures_tell_whether_a_byte_was_written(answer, error, written):
     async def test(client, upstream):
-        with pytest.raises(error or UpstreamError) as caught:
+        with pytest.raises(error) as caught:
             await exchange(client, upstream.address)
         assert caught.value.written is written
         assert client.open_connections(upstream.address) == 0
@@ -218,10 +220,10 @@
         (ok(b'{"outcome": "unknown"}'), False),
         (ok(b"not-started"), False),
         (ok(b"[]"), False),
-        (raw(b"HTTP/1.1 404 No\r\nContent-Length: 26\r\n\r\n" + b'{"outcome": "not-started"}'), False),
+        (raw(NOT_FOUND), False),
         (raw(b""), False),
     ],
-)  # fmt: skip
+)
 def test_only_an_explicit_answer_confirms_a_cancellation(answer, confirmed):
     async def test(client, upstream):
         assert await client.cancel(upstream.address, "n1.1.0.a", 1.0) is confirmed
