Sharpen the latency evidence and make quiet updates cheap

Ruled out: the exchange delay (58 ms on average) and the threshold alone; the prior of 20 samples hid the learned tail of the first thousands of samples, so each old exchange counted for little.

Change: prior of 5 samples, eight bins to an octave, tolerance 1.5 and threshold 16 for `fast` (22 for `balanced`), latency until the first byte instead of the whole exchange, tables recomputed after 5 % of new samples, no weighing while nobody has noteworthy evidence.

--- a/anviltray/decisions/detection/_latency.py
+++ b/anviltray/decisions/detection/_latency.py
@@ -2,15 +2,17 @@
 
 from math import exp, log, log2
 
-# Four bins to an octave from 0.25 ms to about 2 min.
+# Eight bins to an octave from 0.25 ms to about 2 min. An age is rounded down to its bin, so with
+# wider bins a stall is seen later.
 _LOWEST_S = 0.00025
-_BINS_PER_OCTAVE = 4
-_BIN_COUNT = 76
+_BINS_PER_OCTAVE = 8
+_BIN_COUNT = 152
 _SCALE = _BINS_PER_OCTAVE / log(2)
 _OFFSET = -log(_LOWEST_S) * _SCALE
 
-# A wide prior (median 100 ms) keeps a stall visible before the distribution is known.
-_PRIOR_WEIGHT = 20.0
+# A wide prior (median 100 ms) keeps a stall visible before the distribution is known. A larger
+# weight would hide the tail of the first thousands of samples.
+_PRIOR_WEIGHT = 5.0
 _PRIOR_MEDIAN_S = 0.1
 _PRIOR_SIGMA = 1.5
 
@@ -21,8 +23,9 @@
 # u ** 0.3, concentrated at the slow end, without assuming a shape of the latencies.
 _EXPONENT = 0.3
 
-# A latency is compared after division by 2: twice the usual time is not unhealthy.
-_TOLERANCE_BINS = _BINS_PER_OCTAVE
+# The tables are recomputed after this share of new samples, and at this interval in any case.
+_REFRESH_SHARE = 0.05
+_REFRESH_S = 10.0
 
 
 class LatencyModel:
@@ -32,10 +35,12 @@
     the healthy hypothesis is 1, so sums of logarithms have the usual false alarm bounds. The ratio
     of an exchange in flight uses the larger of the tail probability at its age and the expected
     number of older exchanges in flight, so that a service with long polls does not look stalled.
+    A duration is divided by the tolerance first: being a little slower than usual is no fault.
     """
 
-    def __init__(self, survival_floor: float) -> None:
+    def __init__(self, survival_floor: float, tolerance: float) -> None:
         self._floor = survival_floor
+        self._shift = round(log2(tolerance) * _BINS_PER_OCTAVE)
         self._counts = _prior_counts()
         self._total = _PRIOR_WEIGHT
         self._pending = 0
@@ -61,13 +66,15 @@
         self._pending += 1
 
     def refresh(self, now_s: float, upstreams: int) -> None:
-        """Recomputes the tables once a second if the distribution has new samples."""
+        """Recomputes the tables, at most once a second, if there are enough new samples."""
         if self._tabulated_s is None:
             self._tabulated_s = now_s
             return
         elapsed_s = now_s - self._tabulated_s
         if elapsed_s < 1.0 or not self._pending:
             return
+        if elapsed_s < _REFRESH_S and self._pending < _REFRESH_SHARE * self._total:
+            return
         rate = self._pending / elapsed_s / max(upstreams, 1)
         self._rate += (rate - self._rate) * (1.0 - exp(-elapsed_s / 10.0))
         self._pending = 0
@@ -105,7 +112,7 @@
             max(0.0, _density_score(min(1.0, max(survival[i], older[i], self._floor))))
             for i in range(_BIN_COUNT)
         ]
-        shift = _TOLERANCE_BINS
+        shift = self._shift
         self.finished_scores = [finished[0]] * shift + finished[: _BIN_COUNT - shift]
         self.age_scores = [0.0] * shift + ages[: _BIN_COUNT - shift]
         first = next((i for i, score in enumerate(self.age_scores) if score > 0), _BIN_COUNT)
--- a/anviltray/decisions/detection/_likelihood.py
+++ b/anviltray/decisions/detection/_likelihood.py
@@ -5,7 +5,7 @@
 
 from anviltray.decisions._types import ExchangeOutcome
 from anviltray.decisions.detection._latency import LatencyModel
-from anviltray.decisions.detection._types import Reading, Sensitivity, detectors
+from anviltray.decisions.detection._types import Detector, Reading, Sensitivity, detectors
 
 # Share of errors at an unhealthy upstream; a lower one is found too, only later.
 _UNHEALTHY_ERROR_SHARE = 0.5
@@ -45,6 +45,7 @@
         "ignore_before_s",
         "latencies",
         "samples",
+        "streaming",
         "waiting",
         "warm_s",
     )
@@ -60,35 +61,42 @@
         self.fresh_answer_s = float("-inf")  # Last answer on a connection opened for it.
         self.ignore_before_s = float("-inf")  # Exchanges started earlier are no evidence.
         self.warm_s = float("-inf")  # Latencies are no evidence before this time.
-        self.waiting: dict[int, _Exchange] = {}  # In flight, oldest first.
+        self.waiting: dict[int, _Exchange] = {}  # Before the first byte, oldest first.
+        self.streaming: dict[int, _Exchange] = {}  # Within the body, oldest first byte first.
 
 
 class _Exchange:
     """One exchange in flight."""
 
-    __slots__ = ("fresh", "started_s", "watch")
+    __slots__ = ("fresh", "late", "phase_s", "started_s", "watch")
 
     def __init__(self, watch: _Watch, started_s: float, fresh: bool) -> None:
         self.watch = watch
         self.started_s = started_s
+        self.phase_s = started_s  # Start of the current phase.
         self.fresh = fresh
+        self.late = False  # A phase took longer than usual.
 
 
-@detectors.register("likelihood_ratio")
 class LikelihoodRatioDetector:
     """Cumulative sums of log-likelihood ratios per upstream, one over outcomes, one over latencies.
 
     The age of exchanges in flight adds to the sum over latencies for as long as they last. The
     larger of both sums is the ratio of the upstream. Refusals, exchanges that the caller left and
-    latencies of a warming upstream change nothing.
+    latencies of a warming upstream change nothing. Latency is that until the first byte and, if
+    `body` is set, separately that of the body; or that of the whole exchange if `split` is not set.
     """
 
-    def __init__(self, sensitivity: Sensitivity) -> None:
+    def __init__(self, sensitivity: Sensitivity, split: bool, body: bool) -> None:
         self._sensitivity = sensitivity
+        self._split = split
+        self._body = body
         self._watches: dict[str, _Watch] = {}
         self._touched: dict[str, _Watch] = {}
         self._exchanges: dict[int, _Exchange] = {}
-        self._model = LatencyModel(sensitivity.survival_floor)
+        limits = sensitivity.survival_floor, sensitivity.latency_tolerance
+        self._wait_model = LatencyModel(*limits)
+        self._body_model = LatencyModel(*limits)
         self._errors = 0.0
         self._outcomes = 0.0
         self._decayed_s: float | None = None
@@ -101,7 +109,8 @@
         wanted = set(addresses)
         for address in self._watches.keys() - wanted:
             self._touched.pop(address, None)
-            for number in self._watches.pop(address).waiting:
+            watch = self._watches.pop(address)
+            for number in (*watch.waiting, *watch.streaming):
                 del self._exchanges[number]
         for address in sorted(wanted - self._watches.keys()):
             self._watches[address] = _Watch(address)
@@ -115,50 +124,67 @@
 
     def first_byte(self, now_s: float, number: int) -> None:
         exchange = self._exchanges.get(number)
-        if exchange is not None:
-            if exchange.fresh:
-                exchange.watch.fresh_answer_s = now_s
-            exchange.watch.connect_failures = 0
+        if exchange is None:
+            return
+        watch = exchange.watch
+        if exchange.fresh:
+            watch.fresh_answer_s = now_s
+        watch.connect_failures = 0
+        if self._split and number in watch.waiting:
+            del watch.waiting[number]
+            watch.streaming[number] = exchange
+            if exchange.started_s >= watch.ignore_before_s:
+                self._timed(now_s, exchange, self._wait_model)
+            exchange.phase_s = now_s
 
     def ended(self, now_s: float, number: int, outcome: ExchangeOutcome) -> None:
         exchange = self._exchanges.pop(number, None)
         if exchange is None:
             return
         watch = exchange.watch
-        del watch.waiting[number]
+        waited = watch.waiting.pop(number, None) is not None
+        if not waited:
+            del watch.streaming[number]
         if outcome in _NEUTRAL:
             return
         stale = exchange.started_s < watch.ignore_before_s
         if outcome is not _OK:
             if not stale:
-                self._failed(now_s, exchange, outcome)
+                self._failed(now_s, exchange, outcome, waited)
             return
         if exchange.fresh:
             watch.fresh_answer_s = now_s
         watch.connect_failures = 0
         if stale:
             return
-        model = self._model
-        index = model.bin(now_s - exchange.started_s)
-        suspect = watch.failures > _SUSPECT or watch.latencies > _SUSPECT
         self._outcomes += 1.0
+        watch.samples += 1
         total = watch.failures + self._success_score
         watch.failures = total if total > 0.0 else 0.0
-        if now_s >= watch.warm_s:
-            score = model.finished_scores[index]
-            if score <= 0.0:
-                watch.answers += 1
-                watch.answered_s = now_s
-            total = watch.latencies + score
-            watch.latencies = total if total > 0.0 else 0.0
-            if not suspect or self._common:
-                model.add(index)
-        else:
+        if waited:
+            self._timed(now_s, exchange, self._wait_model)
+        elif self._body:
+            self._timed(now_s, exchange, self._body_model)
+        if not exchange.late:
             watch.answers += 1
             watch.answered_s = now_s
-        watch.samples += 1
 
-    def _failed(self, now_s: float, exchange: _Exchange, outcome: ExchangeOutcome) -> None:
+    def _timed(self, now_s: float, exchange: _Exchange, model: LatencyModel) -> None:
+        """Takes the length of a phase that is over."""
+        watch = exchange.watch
+        if now_s < watch.warm_s:
+            return
+        index = model.bin(now_s - exchange.phase_s)
+        score = model.finished_scores[index]
+        if self._common or (watch.failures < _SUSPECT and watch.latencies < _SUSPECT):
+            model.add(index)
+        exchange.late = exchange.late or score > 0.0
+        total = watch.latencies + score
+        watch.latencies = total if total > 0.0 else 0.0
+
+    def _failed(
+        self, now_s: float, exchange: _Exchange, outcome: ExchangeOutcome, waited: bool
+    ) -> None:
         watch = exchange.watch
         watch.samples += 1
         score = self._failure_score
@@ -166,8 +192,10 @@
             score *= _REUSED_BROKEN_WEIGHT
         if outcome is ExchangeOutcome.CONNECT_FAILED:
             watch.connect_failures += 1
-        if outcome is ExchangeOutcome.TIMED_OUT and now_s >= watch.warm_s:
-            watch.latencies += self._model.age_scores[self._model.bin(now_s - exchange.started_s)]
+        timed = (waited or self._body) and now_s >= watch.warm_s
+        if outcome is ExchangeOutcome.TIMED_OUT and timed:
+            model = self._wait_model if waited else self._body_model
+            watch.latencies += model.age_scores[model.bin(now_s - exchange.phase_s)]
         if watch.failures < _SUSPECT or self._common:
             self._errors += 1.0
             self._outcomes += 1.0
@@ -196,7 +224,9 @@
         watch.ignore_before_s = now_s
 
     def survey(self, now_s: float) -> dict[str, Reading]:
-        self._model.refresh(now_s, len(self._watches))
+        self._wait_model.refresh(now_s, len(self._watches))
+        if self._body:
+            self._body_model.refresh(now_s, len(self._watches))
         factor = self._decay(now_s)
         readings: dict[str, Reading] = {}
         suspects = 0
@@ -207,7 +237,7 @@
             ratio = min(max(watch.failures, watch.latencies + flying), _RATIO_LIMIT)
             if ratio < 0.05:
                 watch.samples = 0
-                if not watch.waiting:
+                if not watch.waiting and not watch.streaming:
                     watch.failures = watch.latencies = 0.0
                     del self._touched[address]
             suspects += ratio > _SUSPECT
@@ -244,11 +274,20 @@
         """Returns the evidence in the ages of exchanges in flight and their number."""
         if now_s < watch.warm_s:
             return 0.0, 0
-        model = self._model
+        total, count = self._ages(now_s, watch, watch.waiting, self._wait_model)
+        if self._body:
+            more, streaming = self._ages(now_s, watch, watch.streaming, self._body_model)
+            return total + more, count + streaming
+        return total, count
+
+    @staticmethod
+    def _ages(
+        now_s: float, watch: _Watch, exchanges: dict[int, _Exchange], model: LatencyModel
+    ) -> tuple[float, int]:
         total = 0.0
         count = 0
-        for exchange in watch.waiting.values():
-            age_s = now_s - exchange.started_s
+        for exchange in exchanges.values():
+            age_s = now_s - exchange.phase_s
             if age_s < model.quiet_age_s or total > _RATIO_LIMIT:
                 break
             if exchange.started_s < watch.ignore_before_s:
@@ -269,8 +308,23 @@
             "latencies": round(watch.latencies, 2),
             "in_flight_age": round(self._in_flight(now_s, watch)[0], 2),
             "samples": watch.samples,
-            "in_flight": len(watch.waiting),
-            "service_p50_s": round(self._model.quantile(0.5), 4),
-            "service_p99_s": round(self._model.quantile(0.99), 4),
+            "in_flight": len(watch.waiting) + len(watch.streaming),
+            "service_p50_s": round(self._wait_model.quantile(0.5), 4),
+            "service_p99_s": round(self._wait_model.quantile(0.99), 4),
             "failure_score": round(self._failure_score, 2),
         }
+
+
+@detectors.register("likelihood_ratio")
+def _first_byte(sensitivity: Sensitivity) -> Detector:
+    return LikelihoodRatioDetector(sensitivity, split=True, body=False)
+
+
+@detectors.register("likelihood_ratio_phases")
+def _phases(sensitivity: Sensitivity) -> Detector:
+    return LikelihoodRatioDetector(sensitivity, split=True, body=True)
+
+
+@detectors.register("likelihood_ratio_whole")
+def _whole(sensitivity: Sensitivity) -> Detector:
+    return LikelihoodRatioDetector(sensitivity, split=False, body=False)
--- a/anviltray/decisions/detection/_types.py
+++ b/anviltray/decisions/detection/_types.py
@@ -12,6 +12,7 @@
 
     threshold: float  # Log-likelihood ratio that removes an upstream.
     survival_floor: float  # Least probability that a single latency or age is given.
+    latency_tolerance: float  # Factor on the usual latency that is no evidence.
     error_share_floor: float  # Least share of errors that is expected of a healthy upstream.
     ejection_s: float  # Length of a first ejection.
 
@@ -20,9 +21,9 @@
 # 400 requests/s has 3.5e7 = exp(17.4) of them. The margin above that covers the sum over several
 # nodes and latencies that are not independent.
 SENSITIVITIES = {
-    "fast": Sensitivity(18.0, 1e-3, 0.01, 5.0),
-    "balanced": Sensitivity(24.0, 2e-3, 0.01, 5.0),
-    "careful": Sensitivity(32.0, 3e-3, 0.02, 10.0),
+    "fast": Sensitivity(16.0, 1e-3, 1.5, 0.01, 5.0),
+    "balanced": Sensitivity(22.0, 2e-3, 2.0, 0.01, 5.0),
+    "careful": Sensitivity(32.0, 3e-3, 2.0, 0.02, 10.0),
 }
 
 
--- a/anviltray/decisions/ejection/_board.py
+++ b/anviltray/decisions/ejection/_board.py
@@ -168,6 +168,7 @@
         state = self._addresses.get(address)
         if state is not None and not healthy:
             state.members[address].probe_failed(now_s)
+            state.probed_s = now_s
             self._touched[state.service.name] = state
 
     # Evidence of peers
@@ -213,7 +214,8 @@
         changes: list[StateChange] = []
         for name, state in states.items():
             self._weigh(now_s, state, surveys[name])
-            changed = list(self._decide(now_s, state))
+            quiet = not (state.consensus or state.busy or state.heard)
+            changed = [] if quiet else list(self._decide(now_s, state))
             changes += changed
             if changed or state.busy or state.heard:
                 self._settle(state, now_s)
@@ -251,6 +253,10 @@
         """Adds up the evidence of all nodes, as it is sent, so that all nodes get equal sums."""
         name = state.service.name
         stated = [(node, item.upstreams) for node, item in self._peers.evidence(now_s, name)]
+        if not (stated or state.sent or state.noteworthy(now_s, _NOTEWORTHY - _STEP / 2)):
+            state.published = {}
+            state.consensus = {}
+            return
         questioned = {
             address
             for _, upstreams in stated
--- a/anviltray/decisions/ejection/_member.py
+++ b/anviltray/decisions/ejection/_member.py
@@ -18,8 +18,8 @@
 
 # A lagging or misleading probe must not suffice on its own, not even on trial.
 _PROBE_SUSPICION = 2.0
-_PROBE_LIMIT = 4.0
-_PROBE_MEMORY_S = 10.0
+PROBE_LIMIT = 4.0
+PROBE_MEMORY_S = 10.0
 
 
 class MemberState(StrEnum):
@@ -123,12 +123,12 @@
 
     def probe_failed(self, now_s: float) -> None:
         """Adds a failed probe."""
-        self.probe_suspicion = min(self.probes(now_s) + _PROBE_SUSPICION, _PROBE_LIMIT)
+        self.probe_suspicion = min(self.probes(now_s) + _PROBE_SUSPICION, PROBE_LIMIT)
         self.probe_s = now_s
 
     def probes(self, now_s: float) -> float:
         """Returns the suspicion by failed probes, which decays linearly."""
         if not self.probe_suspicion:
             return 0.0
-        left = 1.0 - (now_s - self.probe_s) / _PROBE_MEMORY_S
+        left = 1.0 - (now_s - self.probe_s) / PROBE_MEMORY_S
         return max(0.0, self.probe_suspicion * left)
--- a/anviltray/decisions/ejection/_service.py
+++ b/anviltray/decisions/ejection/_service.py
@@ -6,7 +6,7 @@
 from anviltray.decisions._types import RoutableSet, RoutableUpstream
 from anviltray.decisions.detection import SENSITIVITIES, Reading, detectors
 from anviltray.decisions.ejection._floor import Candidate, floor_slots, select
-from anviltray.decisions.ejection._member import Member, MemberState
+from anviltray.decisions.ejection._member import PROBE_LIMIT, PROBE_MEMORY_S, Member, MemberState
 from anviltray.decisions.ejection._types import StateChange
 from anviltray.declarations import Service
 from anviltray.messages import UpstreamEvidence
@@ -39,6 +39,7 @@
         self.consensus: dict[str, Consensus] = {}
         self.sent: dict[str, UpstreamEvidence] = {}
         self.heard: dict[str, list[float]] = {}
+        self.probed_s = float("-inf")
         self.evidence_sent_s = float("-inf")
         self.ejected_sent: tuple[str, ...] = ()
         self.ejection_sent_s = float("-inf")
@@ -123,6 +124,11 @@
         ratio = reading.log_likelihood_ratio if reading is not None else 0.0
         return min(ratio + self.members[address].probes(now_s), _RATIO_LIMIT)
 
+    def noteworthy(self, now_s: float, ratio: float) -> bool:
+        """Returns whether the evidence of this node against any upstream may reach `ratio`."""
+        least = ratio - PROBE_LIMIT if now_s - self.probed_s < PROBE_MEMORY_S else ratio
+        return any(reading.log_likelihood_ratio >= least for reading in self.readings.values())
+
     def change(self, address: str, before: MemberState) -> StateChange:
         """Returns the log entry for a change of one member."""
         member = self.members[address]
--- a/measure/detection.py
+++ b/measure/detection.py
@@ -171,7 +171,7 @@
     detector: str = "likelihood_ratio",
 ) -> list[Row]:
     """Returns the removals of healthy upstreams; nodes that agree within 10 s count once."""
-    parts = max(1, int(hours))
+    parts = max(WORKERS, int(hours))
     length_s = hours * 3600 / parts
     jobs = [(sensitivity, part, part * length_s, length_s, rate, detector) for part in range(parts)]
     incidents = 0
