--- a/anviltray/callers/tests/test_proxy.py
+++ b/anviltray/callers/tests/test_proxy.py
@@ -53,6 +53,7 @@
         async with Node() as node:
             ask = await node.call("GET /.anviltray/ask?service=keeper-desk&region=viti")
             assert json.loads(ask.body) == {
+                "service": "keeper-desk",
                 "addresses": ["127.0.0.1:1"],
                 "lifetime_s": 30.0,
                 "request_id_prefix": "n1.1.0.",
