Keep test addresses from being taken by another server

Cause: test_outcomes failed once: the port of a closed upstream was given to the next upstream, so both requests reached one server. Ruled out: the dispatcher, which chose the addresses as scripted. Conclusion: a fault of the test, which checks the same as before.

--- a/anviltray/callers/tests/test_attempts.py
+++ b/anviltray/callers/tests/test_attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import socket
 
 import pytest
 
@@ -38,6 +39,10 @@
                 if answer is None:
                     upstream.server.close()
                     await upstream.server.wait_closed()
+                    # Bound without listening, so that no other server gets the port.
+                    holder = stack.enter_context(socket.socket())
+                    host, port = upstream.address.split(":")
+                    holder.bind((host, int(port)))
                 upstreams.append(upstream)
             node = await stack.enter_async_context(Node(**settings))
             node.context.board.addresses = tuple(upstream.address for upstream in upstreams)
