--- a/anviltray/callers/_head.py
+++ b/anviltray/callers/_head.py
@@ -1,5 +1,6 @@
 """Reads the head of a caller's request in one pass over its headers."""
 
+import re
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
@@ -15,6 +16,7 @@
 DEADLINE_LIMIT_MS = 3_600_000
 REQUEST_ID_LIMIT = 256
 
+_CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 _OWN = frozenset({REQUEST_ID_HEADER, DEADLINE_HEADER, FORWARDED_HEADER})
 _EXPECT = frozenset({b"expect", b"host", b"content-length"})
 
@@ -151,9 +153,9 @@
     one.
     """
     lowered = raw_path.lower()
-    if b"%2f" in lowered or b"%5c" in lowered or b"\\" in lowered or b"%25" in lowered:
+    if b"%2f" in lowered or b"%5c" in lowered or b"\\" in lowered:
         raise bad_request("the path contains an escaped separator")
     if any(segment in (".", "..") for segment in path.split("/")):
         raise bad_request("the path contains a dot segment")
-    if not path.isprintable():
+    if _CONTROL.search(path):
         raise bad_request("the path contains a control character")
--- a/anviltray/callers/_protocol.py
+++ b/anviltray/callers/_protocol.py
@@ -31,6 +31,10 @@
 
 _BAD_FRAMING = Problem(400, "bad-request", "the request is not valid HTTP", close=True)
 _BAD_VERSION = Problem(505, "http-version", "only HTTP/1.1 and HTTP/1.0 are served", close=True)
+_UPGRADE_WITH_BODY = Problem(
+    501, "upgrade-with-body", "a request with a body and an Upgrade header is not read", close=True
+)
+_BODY_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 _HEAD_TOO_LARGE = Problem(431, "head-too-large", "the request head is too large", close=True)
 _HEAD_TOO_SLOW = Problem(408, "head-timeout", "the request head took too long", close=True)
 _BODY_TOO_SLOW = Problem(408, "body-timeout", "the request body took too long", close=True)
@@ -88,15 +92,19 @@
         continued = self._in_head
         idle = self._running is None or self._running.response_complete
         self._fed_bytes = len(data)
+        problem: Problem | None = None
+        upgrade = False
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._stopped = True  # Upgrades are not supported; the request itself is answered.
+            upgrade = True  # Upgrades are not supported; the request itself is answered.
         except httptools.HttpParserError:
-            self._reject(_BAD_FRAMING)
-            return
-        if self._rejection is not None:
-            self._reject(self._rejection)
+            problem = _BAD_FRAMING
+        problem = self._rejection or problem
+        if problem is not None:
+            self._reject(problem)
+        elif upgrade:
+            self._stopped = True
         elif self._in_head:
             if continued or idle:
                 self._head_bytes += self._fed_bytes
@@ -148,6 +156,11 @@
         scope["raw_path"] = raw_path
         scope["query_string"] = url.query or b""
         upgrade = parser.should_upgrade()
+        if upgrade and any(name in _BODY_HEADERS for name, _ in self.headers):
+            # httptools does not parse the body of such a request; without it the upstream would
+            # run another request.
+            self._rejection = _UPGRADE_WITH_BODY
+            return
         keep_alive = (
             http_version == "1.1"
             and parser.should_keep_alive()
@@ -158,8 +171,6 @@
         exchange = CallerExchange(self, scope, keep_alive, self.expect_100_continue)
         scope["anviltray.exchange"] = exchange  # type: ignore[typeddict-unknown-key]
         self.cycle = self._newest = exchange
-        if upgrade:
-            exchange.more_body = False
         if previous is None or previous.response_complete:
             self._start_asgi_task(exchange, self.app)
         else:
--- a/anviltray/callers/tests/test_proxy.py
+++ b/anviltray/callers/tests/test_proxy.py
@@ -48,6 +48,24 @@
     run(main())
 
 
+@pytest.mark.parametrize(("body", "status"), [(b"", 200), (b"u" * 10, 501), (b"u" * 99999, 501)])
+def test_an_upgrade_is_not_followed(body, status):
+    """httptools drops the body of such a request, which must not run without it."""
+
+    async def main():
+        async with Upstream(ok(b"answer")) as upstream, Node() as node:
+            node.context.board.addresses = (upstream.address,)
+            for upgrade in ("websocket", "h2c"):
+                response = await node.call(
+                    "POST /crews", body, Connection="Upgrade", Upgrade=upgrade
+                )
+                assert response.status == status
+                assert response.headers["connection"] == "close"
+            assert len(upstream.requests) == (2 if status == 200 else 0)
+
+    run(main())
+
+
 def test_own_paths():
     async def main():
         async with Node() as node:
