--- a/anviltray/decisions/attempts/_table.py
+++ b/anviltray/decisions/attempts/_table.py
@@ -137,6 +137,8 @@
                 # A running request stays until it ends, so that a duplicate still finds it.
                 if self._entries[request_id].outcome is not None:
                     self._drop_response(self._entries.pop(request_id))
+        while self._replayable and self._replayable[0] not in self._entries:
+            self._replayable.popleft()
         if self._invented:
             self._forget_invented(last_expired)
 
--- a/anviltray/decisions/attempts/tests/test_table.py
+++ b/anviltray/decisions/attempts/tests/test_table.py
@@ -155,6 +155,14 @@
     assert same(attempts.arrive(50.0, "n1.ab.5.c"), Replay(response(b"1")))
 
 
+def test_expired_responses_leave_no_memory_behind():
+    attempts = table()
+    for number in range(100):
+        request_id = attempts.arrive(number * 10.0, None).request_id
+        attempts.finish(number * 10.0, request_id, "done", response(b""))
+    assert len(attempts) == len(attempts._replayable) == 2
+
+
 @pytest.mark.parametrize(
     ("first", "second", "accepted"),
     [
