--- a/anviltray/decisions/limits/_concurrency.py
+++ b/anviltray/decisions/limits/_concurrency.py
@@ -3,7 +3,11 @@
 from anviltray.decisions._types import ExchangeOutcome
 
 _DECREASE = 0.9  # factor after congestion.
-_INCREASE = 1.0  # requests added per round of a full window without congestion.
+# Requests added per round of a full window. Soon after congestion the limit probes slowly: with one
+# per round, half of all attempts at twice the capacity ended in refusals by the upstreams.
+_INCREASE = 1.0
+_INCREASE_SOON = 0.05
+_SOON_S = 2.0
 _CONGESTED_RATIO = 3.0  # recent latency against the usual one that counts as congestion.
 _RECENT_WEIGHT = 0.1  # of one latency in the recent mean; about ten requests.
 # The usual latency follows rises slowly, so that an overload does not become the usual state.
@@ -27,6 +31,7 @@
         self._recent_s = initial_latency_s
         self._measured = False
         self._decreased_s = float("-inf")
+        self._congested_s = float("-inf")
 
     @property
     def value(self) -> float:
@@ -56,7 +61,9 @@
                 self._decrease(now_s)
             elif in_flight >= self._limit - 1:
                 largest = max(_LARGEST_FACTOR * self._share, self._share + 4)
-                self._limit = min(largest, self._limit + _INCREASE / self._limit)
+                soon = now_s - self._congested_s < _SOON_S
+                step = (_INCREASE_SOON if soon else _INCREASE) / self._limit
+                self._limit = min(largest, self._limit + step)
 
     def _learn(self, latency_s: float) -> None:
         if not self._measured:
@@ -68,6 +75,7 @@
         self._usual_s += weight * (latency_s - self._usual_s)
 
     def _decrease(self, now_s: float) -> None:
+        self._congested_s = now_s
         if now_s - self._decreased_s < max(self._usual_s, _LEAST_PAUSE_S):
             return
         self._decreased_s = now_s
--- a/anviltray/decisions/limits/_types.py
+++ b/anviltray/decisions/limits/_types.py
@@ -11,7 +11,7 @@
     """Bounds of the admission of one service at one node."""
 
     queue_limit: int = 128  # Requests that wait at the same time.
-    wait_limit_s: float = 0.5  # Longest expected wait; a longer queue only adds latency.
+    wait_limit_s: float = 0.25  # Longest expected wait; a longer queue only adds latency.
     retry_after_limit_s: float = 30.0  # Largest Retry-After.
     initial_latency_s: float = 0.05  # Assumed service time before the first response.
 
--- /dev/null
+++ b/measure/decision_cost.py
@@ -0,0 +1,112 @@
+"""Real time of one routing decision and of the other steps of a request."""
+
+import sys
+import time
+from collections.abc import Callable
+from random import Random
+
+from anviltray.decisions import ExchangeOutcome, RoutableSet, RoutableUpstream
+from anviltray.decisions.attempts import AttemptTable
+from anviltray.decisions.limits import Admission
+from anviltray.decisions.routing import LoadBoard, routers
+from anviltray.settings import AttemptSettings
+
+Row = tuple[str, float, str]
+
+_ROUNDS = 5  # The least of several rounds, because other processes share the cores.
+_DECISIONS = 5000  # per round.
+_SIZES = (40, 200, 1000)
+
+
+def _time_us(action: Callable[[int], object], count: int = _DECISIONS) -> float:
+    best = float("inf")
+    for _ in range(_ROUNDS):
+        begun = time.perf_counter()
+        for number in range(count):
+            action(number)
+        best = min(best, time.perf_counter() - begun)
+    return best / count * 1e6
+
+
+def _decision_us(name: str, size: int, load: float) -> float:
+    """Returns the cost of choose, started and ended with loads around `load`."""
+    places = (("r1", "r1-a"), ("r1", "r1-b"), ("r2", "r2-a"), ("r2", "r2-b"))
+    upstreams = tuple(
+        RoutableUpstream(f"10.0.{number // 250}.{number % 250}:80", *places[number % 4], 6, 1.0)
+        for number in range(size)
+    )
+    routable = RoutableSet(1, "service", tuple(sorted(upstreams)))
+    rng = Random(1)
+    board = LoadBoard("n1", 1)
+    router = routers[name]("r1", "r1-a", board, rng)
+    exclude: frozenset[str] = frozenset()
+
+    def decide(number: int) -> None:
+        now_s = number * 0.001
+        chosen = router.choose(routable, now_s, exclude, False, 400)
+        if chosen is not None:
+            board.started(chosen.address)
+            board.ended(now_s, chosen.address, 0.02, load + rng.random() * 0.1)
+
+    return _time_us(decide)
+
+
+def _admission_us() -> float:
+    admission = Admission()
+    admission.set_capacity(0.0, 180, 48)
+    for ticket in range(4):
+        admission.arrive(0.0, "c", 30.0, ticket)
+
+    def pass_through(number: int) -> None:
+        now_s = number * 0.001
+        admission.arrive(now_s, f"c{number % 50}", now_s + 1.0, number + 4)
+        admission.finished(now_s, number, 0.02, ExchangeOutcome.OK)
+        admission.expire(now_s)
+
+    return _time_us_once(pass_through)
+
+
+def _attempts_us() -> float:
+    table = AttemptTable("n1", 1, AttemptSettings(60.0, 10, 100000, 4096, 8388608))
+    prefix = table.prefix(0.0)
+
+    def once(number: int) -> None:
+        request_id = f"{prefix}{number}"
+        table.arrive(0.0, request_id)
+        table.finish(0.0, request_id, "done", None)
+
+    return _time_us_once(once)
+
+
+def _time_us_once(action: Callable[[int], object]) -> float:
+    """Times an action whose number may not repeat."""
+    begun = time.perf_counter()
+    for number in range(_DECISIONS):
+        action(number)
+    return (time.perf_counter() - begun) / _DECISIONS * 1e6
+
+
+def measure() -> list[Row]:
+    """Returns the rows of this module; the cost at high load includes a look at all tiers."""
+    rows: list[Row] = []
+    for name in ("two_choices", "round_robin", "random"):
+        for size in _SIZES:
+            for kind, load in (("", 0.4), ("_full", 0.97)):
+                print(f"decision_cost: {name} {size} {load}", file=sys.stderr, flush=True)
+                label = "" if name == "two_choices" else f"_{name}"
+                rows.append(
+                    (f"decision_us_{size}{kind}{label}", _decision_us(name, size, load), "us")
+                )
+    rows.append(("admission_us", _admission_us(), "us"))
+    rows.append(("attempts_us", _attempts_us(), "us"))
+    return rows
+
+
+def main() -> None:
+    """Prints the rows."""
+    for name, value, unit in measure():
+        print(f"{name:55} {value:10.4f} {unit}")
+
+
+if __name__ == "__main__":
+    main()
