--- a/anviltray/decisions/limits/_admission.py
+++ b/anviltray/decisions/limits/_admission.py
@@ -59,8 +59,6 @@
             return self._refuse(now_s)
         self._collect_expired(now_s)
         if not self._queue and self._has_room():
-            if not self._in_flight and self._limit.paused(now_s):
-                return self._refuse(now_s)
             self._in_flight.add(ticket)
             return Admitted()
         wait_s = (self._queue.ahead_of(caller) + 1) / self._rate()
--- a/anviltray/decisions/limits/_concurrency.py
+++ b/anviltray/decisions/limits/_concurrency.py
@@ -32,7 +32,6 @@
         self._measured = False
         self._decreased_s = float("-inf")
         self._congested_s = float("-inf")
-        self._paused_until_s = float("-inf")
 
     @property
     def value(self) -> float:
@@ -44,14 +43,6 @@
         """Recent mean latency of successful requests."""
         return self._recent_s
 
-    def paused(self, now_s: float) -> bool:
-        """Tells whether a refusal at the least limit was so recent that no request should start.
-
-        A share below one request cannot be expressed by the limit: 48 nodes with one request each
-        exceed the 32 slots of a small service.
-        """
-        return now_s < self._paused_until_s
-
     def set_share(self, share: float) -> None:
         """Sets the node's share of the slots; the limit changes in proportion."""
         share = max(1.0, share)
@@ -85,8 +76,6 @@
 
     def _decrease(self, now_s: float) -> None:
         self._congested_s = now_s
-        if self._limit <= 1.0:
-            self._paused_until_s = now_s + self._usual_s
         if now_s - self._decreased_s < max(self._usual_s, _LEAST_PAUSE_S):
             return
         self._decreased_s = now_s
