--- a/anviltray/decisions/limits/_admission.py
+++ b/anviltray/decisions/limits/_admission.py
@@ -33,6 +33,7 @@
         # Refused requests that are told to come back, as a backlog that drains at the service rate.
         self._returning = 0.0
         self._returning_at_s = 0.0
+        self._spread = 0.0
 
     @property
     def in_flight(self) -> int:
@@ -56,7 +57,7 @@
     def arrive(self, now_s: float, caller: str, deadline_s: float, ticket: int) -> AdmissionResult:
         """Decides about a new request; `deadline_s` is on the same clock as `now_s`."""
         if deadline_s <= now_s:
-            return self._refuse(now_s)
+            return Refused(self.retry_after_s(now_s))
         self._collect_expired(now_s)
         if not self._queue and self._has_room():
             self._in_flight.add(ticket)
@@ -64,11 +65,11 @@
         wait_s = (self._queue.ahead_of(caller) + 1) / self._rate()
         latest_s = min(self._settings.wait_limit_s, deadline_s - now_s - self._limit.latency_s)
         if wait_s > latest_s:
-            return self._refuse(now_s)
+            return Refused(self.retry_after_s(now_s))
         if len(self._queue) >= self._settings.queue_limit:
             displaced = self._queue.displace_for(caller)
             if displaced is None:
-                return self._refuse(now_s)
+                return Refused(self.retry_after_s(now_s))
             self._not_started.append(displaced.ticket)
         self._queue.push(QueuedTicket(ticket, caller, deadline_s))
         return Queued()
@@ -115,12 +116,22 @@
         """Returns the requests per second that the limit lets through."""
         return self._limit.value / max(self._limit.latency_s, 1e-6)
 
-    def _refuse(self, now_s: float) -> Refused:
-        # Each refused request is told a later time than the one before, so that they do not all
-        # return at once and meet the same full queue.
+    def retry_after_s(self, now_s: float) -> float:
+        """Returns the Retry-After of one more request that was not run.
+
+        To be asked once for each ticket from `expire` and each request that upstreams refused. Each
+        call returns a later time than the one before, so that the callers do not all return at once
+        and meet the same full queue.
+        """
         rate = self._rate()
         drained = rate * (now_s - self._returning_at_s)
         self._returning = max(0.0, self._returning - drained) + 1
         self._returning_at_s = now_s
         wait_s = (len(self._queue) + self._returning) / rate
-        return Refused(min(wait_s, self._settings.retry_after_limit_s))
+        limit_s = self._settings.retry_after_limit_s
+        if wait_s <= limit_s:
+            return wait_s
+        # Callers above the limit are spread over its second half by multiples of the golden ratio;
+        # told the same time, they would cause the next overload.
+        self._spread = (self._spread + 0.618034) % 1.0
+        return limit_s * (1.0 - 0.5 * self._spread)
