--- /dev/null
+++ b/anviltray/node/tests/test_daemon.py
@@ -0,0 +1,96 @@
+"""Guards against a daemon that starts with wrong settings, or that signals cannot end."""
+
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+
+import pytest
+import yaml
+
+from anviltray.testing import free_address
+
+BOUND_S = 60
+
+
+def write_settings(tmp_path, **changes):
+    settings = {
+        "node": "n1",
+        "region": "viti",
+        "zone": "viti-a",
+        "caller_address": free_address(),
+        "peer_address": free_address(),
+        "operator_address": free_address(),
+        "platform": {"kind": "memory"},
+        "callers": {"answer_lifetime_s": 0.1},
+        **changes,
+    }
+    path = tmp_path / "node.yaml"
+    path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+    return path, settings
+
+
+def start(*arguments):
+    command = [sys.executable, "-m", "anviltray.node", *map(str, arguments)]
+    return subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+
+
+def wait_healthy(address):
+    for _ in range(BOUND_S * 20):
+        try:
+            with urllib.request.urlopen(f"http://{address}/.anviltray/health", timeout=5) as answer:
+                return answer.status
+        except OSError:
+            time.sleep(0.05)
+    raise TimeoutError(address)
+
+
+@pytest.mark.parametrize(
+    ("changes", "code", "words"),
+    [({}, 0, ""), ({"colour": 1}, 2, "colour"), ({"caller_address": "x:1"}, 2, "caller_address")],
+)
+def test_check(tmp_path, changes, code, words):
+    path, _ = write_settings(tmp_path, **changes)
+    process = start(path, "--check")
+    _, errors = process.communicate(timeout=BOUND_S)
+    assert process.returncode == code
+    assert words in errors and errors.count("\n") == (1 if code else 0)
+
+
+def test_wrong_settings_end_the_start(tmp_path):
+    path, _ = write_settings(tmp_path, node="N 1")
+    process = start(path)
+    _, errors = process.communicate(timeout=BOUND_S)
+    assert process.returncode == 2
+    assert str(path) in errors and errors.count("\n") == 1
+
+
+def test_address_in_use_is_one_line(tmp_path):
+    path, settings = write_settings(tmp_path)
+    first = start(path)
+    try:
+        wait_healthy(settings["caller_address"])
+        second = start(path)
+        _, errors = second.communicate(timeout=BOUND_S)
+        assert second.returncode == 3
+        assert "in use" in errors.splitlines()[-1]
+        assert "Traceback" not in errors
+    finally:
+        first.kill()
+        first.communicate(timeout=BOUND_S)
+
+
+@pytest.mark.parametrize(
+    ("lifetime_s", "signals", "code"), [(0.1, 1, 0), (3600, 2, 1)], ids=["graceful", "at once"]
+)
+def test_sigterm(tmp_path, lifetime_s, signals, code):
+    """With an answer lifetime of an hour, only the second signal can end the process in time."""
+    path, settings = write_settings(tmp_path, callers={"answer_lifetime_s": lifetime_s})
+    process = start(path)
+    wait_healthy(settings["caller_address"])
+    for _ in range(signals):
+        process.send_signal(signal.SIGTERM)
+        time.sleep(0.5 * (signals - 1))
+    process.communicate(timeout=BOUND_S)
+    assert process.returncode == code
