--- a/anviltray/node/_daemon.py
+++ b/anviltray/node/_daemon.py
@@ -51,7 +51,11 @@
     signals = asyncio.Queue[int]()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.put_nowait, number)
-    await node.start()
+    try:
+        await node.start()
+    except OSError:
+        await node.close()
+        raise
     _log.info("node {} serves callers at {}", settings.node, settings.caller_address)
     await signals.get()
     stopping = asyncio.create_task(node.stop())
--- a/anviltray/node/_node.py
+++ b/anviltray/node/_node.py
@@ -88,8 +88,20 @@
         self._serving: list[asyncio.Task[Any]] = []
         self._stop_callers = asyncio.Event()
         self._stop_operators = asyncio.Event()
+        self._attach_counters(publisher)
         self._subscribe()
 
+    def _attach_counters(self, publisher: CommandPublisher) -> None:
+        for prefix, owner in (
+            ("exchange", self.exchange),
+            ("configuration", self.store),
+            ("log", self._follower),
+            ("snapshots", self._snapshots),
+            ("hosts", self._hosts),
+            ("commands", publisher),
+        ):
+            self.metrics.attach(prefix, owner.counters)
+
     def _subscribe(self) -> None:
         exchange, context = self.exchange, self.context
         self.store.subscribe(context.configure)
@@ -160,7 +172,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.exchange.stop()
+        if self._serving:
+            await self.exchange.stop()
         await asyncio.gather(*self._serving, return_exceptions=True)
         await self.context.upstreams.close()
         await self.platform.close()
--- a/anviltray/operators/_application.py
+++ b/anviltray/operators/_application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hmac
+import json
 import math
 from collections.abc import Mapping
 from typing import Any
@@ -215,7 +216,8 @@
     _req: falcon.asgi.Request, resp: falcon.asgi.Response, error: falcon.HTTPError
 ) -> None:
     resp.content_type = "application/problem+json"
-    resp.media = {"title": error.title, "detail": error.description or error.title}
+    problem = {"title": error.title, "detail": error.description or error.title}
+    resp.data = json.dumps(problem).encode()
 
 
 async def _body(req: falcon.asgi.Request) -> Mapping[str, Any]:
--- a/anviltray/telemetry/_metrics.py
+++ b/anviltray/telemetry/_metrics.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Protocol
 
@@ -27,6 +28,7 @@
         self._counts: Counter[str] = Counter()
         self._sent: Counter[str] = Counter()
         self._gauges: dict[str, float] = {}
+        self._attached: dict[str, Mapping[str, int]] = {}
         self._client: StatsClient | None = None
         if address:
             host, _, port = address.rpartition(":")
@@ -51,18 +53,30 @@
         """Sets a gauge."""
         self._gauges[name] = value
 
+    def attach(self, prefix: str, counts: Mapping[str, int]) -> None:
+        """Includes the counters of another object under `prefix` in every flush."""
+        self._attached[prefix] = counts
+
+    def all_counts(self) -> dict[str, int]:
+        """Returns the counters of this and all attached objects by their full names."""
+        names = dict(self._counts)
+        for prefix, counts in self._attached.items():
+            names.update({f"{prefix}.{name}": count for name, count in counts.items()})
+        return names
+
     def flush(self) -> None:
         """Sends what changed since the last call; a lost datagram loses only that interval."""
         if self._client is None:
             return
         pipeline: _Pipeline = self._client.pipeline()
-        for name, count in self._counts.items():
+        counts = self.all_counts()
+        for name, count in counts.items():
             if count != self._sent[name]:
                 pipeline.incr(name, count - self._sent[name])
         for name, value in self._gauges.items():
             pipeline.gauge(name, value)
         pipeline.send()
-        self._sent = Counter(self._counts)
+        self._sent = Counter(counts)
 
     async def run(self) -> None:
         """Sends once a second until cancelled."""
--- a/anviltray/telemetry/tests/test_telemetry.py
+++ b/anviltray/telemetry/tests/test_telemetry.py
@@ -28,6 +28,16 @@
     assert receiver.recv(512) == b"p.requests.served:1|c\np.nodes:3|g"
 
 
+def test_attached_counters_are_sent_under_their_prefix(receiver):
+    metrics = Metrics(f"127.0.0.1:{receiver.getsockname()[1]}", "p")
+    reads = {"reads": 2}
+    metrics.attach("log", reads)
+    metrics.flush()
+    reads["reads"] = 5
+    metrics.flush()
+    assert [receiver.recv(512), receiver.recv(512)] == [b"p.log.reads:2|c", b"p.log.reads:3|c"]
+
+
 def test_without_address_counts_are_kept():
     metrics = Metrics()
     metrics.increment("a")
