Harden the exchange against silent connections, slow peers and partitions

Cause: tests of single failures found nodes that stayed unready next to an empty log, pings and urgent messages that waited behind a chosen load digest, and a partition that did not heal after both sides had forgotten each other. Change: an unready node asks the log where it ends; a sender waits for its turn before it chooses a message, and pings do not wait at all; seeds that are no members are tried again; a connection that is closed in order starts no probe; a queued copy is dropped once the peer has the message. Ruled out: remembering dead members for an hour, since seeds and the last host list suffice.

--- a/anviltray/state/exchange/_budget.py
+++ b/anviltray/state/exchange/_budget.py
@@ -8,8 +8,9 @@
 class ByteBudget:
     """Token bucket that serves waiting senders by priority, then in order.
 
-    The burst is the budget of `burst_s` seconds. A message that is larger than the burst passes
-    once the bucket is full, and the bucket goes below zero.
+    A sender waits for its turn, when the bucket is not empty, and then charges what it sends; the
+    bucket may go below zero by one message. Waiting before the choice of the message lets a more
+    urgent one overtake. The burst is the budget of `burst_s` seconds.
     """
 
     def __init__(self, bytes_per_s: float, burst_s: float) -> None:
@@ -17,28 +18,26 @@
         self._burst = bytes_per_s * burst_s
         self._tokens = self._burst
         self._updated_s: float | None = None
-        self._waiting: list[tuple[int, int, int, asyncio.Future[None]]] = []
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
         self._order = count()
         self._timer: asyncio.TimerHandle | None = None
 
     def charge(self, size: int) -> None:
-        """Takes `size` bytes at once, for messages that must not wait."""
+        """Takes `size` bytes."""
         self._refill()
         self._tokens -= size
 
-    async def take(self, size: int, priority: int) -> None:
-        """Waits until `size` bytes are available; the lowest `priority` goes first."""
+    async def turn(self, priority: int) -> None:
+        """Waits until the bucket is not empty; the lowest `priority` goes first."""
         self._refill()
-        if not self._waiting and self._fits(size):
-            self._tokens -= size
+        if not self._waiting and self._tokens > 0:
             return
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._waiting, (priority, next(self._order), size, future))
+        heapq.heappush(self._waiting, (priority, next(self._order), future))
         self._serve()
         await future
-
-    def _fits(self, size: int) -> bool:
-        return self._tokens >= min(size, self._burst)
+        # The next one is served after this one has charged its message.
+        asyncio.get_running_loop().call_soon(self._serve)
 
     def _refill(self) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -52,17 +51,13 @@
             self._timer.cancel()
             self._timer = None
         self._refill()
-        while self._waiting:
-            _, _, size, future = self._waiting[0]
-            if future.done():
-                heapq.heappop(self._waiting)
-                continue
-            if not self._fits(size):
-                missing = min(size, self._burst) - self._tokens
-                loop = asyncio.get_running_loop()
-                # The small addition keeps rounding from waking it a moment too early.
-                self._timer = loop.call_later(missing / self._rate + 1e-4, self._serve)
-                return
+        while self._waiting and self._waiting[0][2].done():
             heapq.heappop(self._waiting)
-            self._tokens -= size
-            future.set_result(None)
+        if not self._waiting:
+            return
+        if self._tokens > 0:
+            heapq.heappop(self._waiting)[2].set_result(None)
+            return
+        loop = asyncio.get_running_loop()
+        # The small addition keeps rounding from waking it a moment too early.
+        self._timer = loop.call_later(-self._tokens / self._rate + 1e-4, self._serve)
--- a/anviltray/state/exchange/_exchange.py
+++ b/anviltray/state/exchange/_exchange.py
@@ -9,6 +9,7 @@
 import logbook
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
+from websockets.frames import CloseCode
 
 from anviltray.messages import (
     SCHEMA_VERSION,
@@ -123,6 +124,7 @@
         self._member_listeners: list[Callable[[Member], None]] = []
         self._key_states: dict[str, bool] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._closing: set[asyncio.Task[None]] = set()
         self._server: Server | None = None
         self._wake = asyncio.Event()
         self._stopping = False
@@ -212,6 +214,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self._closing, return_exceptions=True)
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
@@ -222,16 +225,19 @@
         """Keeps connections to the selected peers open."""
         while True:
             self._wake.clear()
-            self._choose_peers()
+            complete = self._choose_peers()
+            # The selection takes milliseconds at fleet scale, so it is not repeated without need.
+            timeout_s = self._settings.ping_interval_s if not complete else _DIGEST_INTERVAL_S
             try:
-                async with asyncio.timeout(self._settings.ping_interval_s):
+                async with asyncio.timeout(timeout_s):
                     await self._wake.wait()
             except TimeoutError:
                 continue
             # Several changes within a short time cost one selection.
             await asyncio.sleep(self._settings.flush_interval_s)
 
-    def _choose_peers(self) -> None:
+    def _choose_peers(self) -> bool:
+        """Opens missing connections and closes surplus ones; returns True if none is missing."""
         now_s = self._now_s()
         candidates = {
             member.node: member
@@ -257,6 +263,7 @@
             for node, link in tuple(self._links.items()):
                 if link.opened_here and node not in chosen:
                     link.close()
+        return bool(candidates) and not missing
 
     async def _open(self, address: str) -> None:
         try:
@@ -321,7 +328,11 @@
             if self._links.get(link.peer.node) is link:
                 del self._links[link.peer.node]
                 self._link_down(link)
-            link.close()
+            closing = link.close(
+                CloseCode.GOING_AWAY if self._stopping else CloseCode.NORMAL_CLOSURE
+            )
+            self._closing.add(closing)
+            closing.add_done_callback(self._closing.discard)
 
     def _register(self, link: Link) -> bool:
         """Keeps one of two connections with the same node; both sides choose the same one."""
@@ -344,7 +355,7 @@
 
     def _link_down(self, link: Link) -> None:
         self._config.link_down(link)
-        if not self._stopping:
+        if not self._stopping and not link.closed_in_order:
             self.membership.lost(self._now_s(), link.peer.node)
         self._wake.set()
 
@@ -375,6 +386,7 @@
             or not self.membership.is_current(message.node, message.incarnation)
         ):
             return
+        link.has(message)
         if not self._flood_filter.is_new(now_s, message):
             self.counters["duplicate_messages"] += 1
             return
@@ -413,7 +425,7 @@
             for link in tuple(self._links.values()):
                 if now_s - link.heard_s > _SILENT_PERIODS * period_s:
                     self.counters["silent_connections"] += 1
-                    link.close()
+                    link.close(CloseCode.TRY_AGAIN_LATER)
                     if self._links.get(link.peer.node) is link:
                         del self._links[link.peer.node]
                         self._link_down(link)
@@ -520,6 +532,7 @@
             if now_s >= next_stranger_s:
                 next_stranger_s = now_s + _STRANGER_INTERVAL_S
                 await self._probe_stranger()
+                self._try_seed()
 
     async def _probe_stranger(self) -> None:
         strangers = [
@@ -532,6 +545,17 @@
             if not await self._reach(node):
                 self.membership.lost(self._now_s(), node)
 
+    def _try_seed(self) -> None:
+        """Connects to a seed that is no member, as after a partition that outlived the memory."""
+        now_s = self._now_s()
+        known = {member.peer_address for member in self.membership.usable()}
+        unknown = [address for address in self._settings.seeds if address not in known]
+        if unknown:
+            address = self._rng.choice(unknown)
+            if address not in self._connecting and not self._backoff.blocked(now_s, address):
+                self._connecting.add(address)
+                self._spawn(self._open(address))
+
     def _region_rank(self) -> int:
         """Position among the nodes of this region that pull from other regions."""
         region = self._location.region
--- a/anviltray/state/exchange/_link.py
+++ b/anviltray/state/exchange/_link.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 
 from websockets.asyncio.connection import Connection
 from websockets.exceptions import ConnectionClosed
+from websockets.frames import CloseCode
 
 from anviltray.messages import (
     Hello,
@@ -53,36 +55,44 @@
         self._counters = counters
         self._queue = PeerQueue(counters)
         self._closing: asyncio.Task[None] | None = None
+        self._probes: set[asyncio.Task[None]] = set()
 
     def send(self, message: Message, priority: int | None = None) -> None:
         """Queues a message; a peer that is too slow is disconnected."""
+        if isinstance(message, Ping | PingAnswer):
+            # Waiting behind other data would look like a failure of this node.
+            task = asyncio.get_running_loop().create_task(self._send_now(message))
+            self._probes.add(task)
+            task.add_done_callback(self._probes.discard)
+            return
         now_s = asyncio.get_running_loop().time()
         try:
             self._queue.put(now_s, message, priority)
         except QueueOverflow:
             self._counters["overflows"] += 1
-            self.close()
+            self.close(CloseCode.TRY_AGAIN_LATER)
 
     async def write(self) -> None:
         """Sends queued messages until the connection closes."""
         loop = asyncio.get_running_loop()
         while True:
-            item = await self._queue.get()
-            data = encode_message(aged(item.message, loop.time() - item.queued_s))
-            size = len(data) + FRAME_BYTES
-            if isinstance(item.message, Ping | PingAnswer):
-                # Waiting behind bulk data would look like a failure of this node.
-                self._budget.charge(size)
-            else:
-                await self._budget.take(size, item.priority)
-            self._counters["sent_messages"] += 1
-            self._counters["sent_bytes"] += size
-            if self.crosses_regions:
-                self._counters["link_bytes"] += size
-            try:
-                await self._socket.send(data)
-            except ConnectionClosed:
-                return
+            priority = await self._queue.wait()
+            await self._budget.turn(priority)
+            item = self._queue.take()
+            if item is not None:
+                await self._send_now(aged(item.message, loop.time() - item.queued_s))
+
+    async def _send_now(self, message: Message) -> None:
+        data = encode_message(message)
+        size = len(data) + FRAME_BYTES
+        self._budget.charge(size)
+        self._counters["sent_messages"] += 1
+        self._counters["sent_bytes"] += size
+        if self.crosses_regions:
+            self._counters["link_bytes"] += size
+        # The reader notices a closed connection too.
+        with suppress(ConnectionClosed):
+            await self._socket.send(data)
 
     async def read(self, deliver: Callable[["Link", Message], None]) -> None:
         """Passes received messages to `deliver` until the connection closes."""
@@ -105,7 +115,18 @@
                 continue
             deliver(self, message)
 
-    def close(self) -> None:
-        """Closes the connection without waiting for it."""
+    def has(self, message: Message) -> None:
+        """Notes that the peer has a message, so that a queued copy need not be sent."""
+        self._queue.discard(message)
+
+    @property
+    def closed_in_order(self) -> bool:
+        """True if one side closed a connection that it no longer needs."""
+        return self._socket.close_code == CloseCode.NORMAL_CLOSURE
+
+    def close(self, code: int = CloseCode.NORMAL_CLOSURE) -> asyncio.Task[None]:
+        """Closes the connection without waiting for it; returns the task that does it."""
         if self._closing is None:
-            self._closing = asyncio.get_running_loop().create_task(self._socket.close())
+            loop = asyncio.get_running_loop()
+            self._closing = loop.create_task(self._socket.close(code))
+        return self._closing
--- a/anviltray/state/exchange/_queue.py
+++ b/anviltray/state/exchange/_queue.py
@@ -31,7 +31,6 @@
 class Queued(NamedTuple):
     """One waiting message."""
 
-    priority: int  # Position in PRIORITY_ORDER.
     message: Message  # The message as it was queued.
     queued_s: float  # Time at which it was queued.
 
@@ -40,7 +39,7 @@
     """Waiting messages by priority; a newer message replaces an older one of the same subject.
 
     If a class that may be dropped is full, its oldest message goes. `counters` holds
-    `dropped_load`, `dropped_evidence`, `dropped_operator` and `replaced`.
+    `dropped_load`, `dropped_evidence`, `dropped_operator`, `replaced` and `known_to_peer`.
     """
 
     def __init__(self, counters: Counter[str]) -> None:
@@ -66,7 +65,7 @@
             key = self._serial
         elif waiting.pop(key, None) is not None:
             self._counters["replaced"] += 1
-        waiting[key] = Queued(priority, message, now_s)
+        waiting[key] = Queued(message, now_s)
         limit = _LIMITS.get(priority)
         if limit is not None and len(waiting) > limit:
             waiting.popitem(last=False)
@@ -75,15 +74,36 @@
             raise QueueOverflow(f"{len(waiting)} {name} messages wait")
         self._filled.set()
 
-    async def get(self) -> Queued:
-        """Returns the most urgent message, waiting for one."""
+    def discard(self, message: Message) -> None:
+        """Removes the waiting message of the same subject unless it is newer than `message`."""
+        key = _subject(message)
+        if key is None or not isinstance(message, Evidence | Ejection | Counters):
+            return
+        waiting = self._classes[PRIORITY_ORDER[PRIORITIES[type(message)]]]
+        queued = waiting.get(key)
+        if queued is None or not isinstance(queued.message, Evidence | Ejection | Counters):
+            return
+        same = queued.message.incarnation == message.incarnation
+        if same and queued.message.sequence <= message.sequence:
+            del waiting[key]
+            self._counters["known_to_peer"] += 1
+
+    async def wait(self) -> int:
+        """Waits for a message and returns the priority of the most urgent one."""
         while True:
-            for waiting in self._classes:
+            for priority, waiting in enumerate(self._classes):
                 if waiting:
-                    return waiting.popitem(last=False)[1]
+                    return priority
             self._filled.clear()
             await self._filled.wait()
 
+    def take(self) -> Queued | None:
+        """Removes and returns the most urgent message, None if there is none."""
+        for waiting in self._classes:
+            if waiting:
+                return waiting.popitem(last=False)[1]
+        return None
+
 
 def aged(message: Message, waited_s: float) -> Message:
     """Returns the message with the time that it waited here added to its age."""
--- a/anviltray/state/tests/test_log_tasks.py
+++ b/anviltray/state/tests/test_log_tasks.py
@@ -133,18 +133,24 @@
 
 
 @pytest.mark.parametrize(
-    ("ranks", "peers_silent", "reads", "offset_reads"),
+    ("ranks", "ready", "peers_silent", "reads", "offset_reads"),
     [
-        ((0, 0), False, True, False),
-        ((1, 1), False, False, True),
-        ((9, 2), False, False, False),
-        ((9, 2), True, True, False),
+        ((0, 0), True, False, True, False),
+        ((1, 1), True, False, False, True),
+        ((9, 2), True, False, False, False),
+        ((9, 2), True, True, True, False),
+        ((9, 2), False, False, False, True),
     ],
 )
-def test_only_the_first_reader_of_a_region_reads_payloads(ranks, peers_silent, reads, offset_reads):
+def test_only_the_first_reader_of_a_region_reads_payloads(
+    ranks, ready, peers_silent, reads, offset_reads
+):
     async def main():
         platform = MemoryPlatform()
         reader = Reader(platform, ranks)
+        if ready:
+            reader.store.read_to_end(0.0, 0)
+            assert reader.store.ready_reason() is None
         task = asyncio.create_task(reader.follower.run())
         for _ in range(20):
             if not peers_silent:
