--- a/anviltray/state/_log_follower.py
+++ b/anviltray/state/_log_follower.py
@@ -34,8 +34,8 @@
 
     The first node of a region reads the records. The other readers of each zone only ask for the
     offsets and read if the exchange does not deliver a record within BEHIND_S. `counters` holds
-    `reads`, `offset_reads`, `failures` and `uncovered`, the reads that found neither the next
-    record nor a snapshot after it.
+    `reads`, `read_bytes`, `offset_reads`, `failures` and `uncovered`, the reads that found neither
+    the next record nor a snapshot after it.
     """
 
     def __init__(
@@ -93,6 +93,7 @@
             batch = await self._platform.read(STREAM, self._store.version + 1, _READ_LIMIT)
         except OffsetTrimmed:
             return await self._load_snapshot()
+        self.counters["read_bytes"] += sum(len(record.payload) for record in batch.records)
         applied = self._store.apply(loop.time(), batch.records)
         self._store.read_to_end(loop.time(), batch.next_offset)
         return applied > 0 and self._store.version + 1 < batch.next_offset
--- a/anviltray/state/configuration/_store.py
+++ b/anviltray/state/configuration/_store.py
@@ -37,6 +37,7 @@
         self._log_read_to_end = False
         self._was_ready = False
         self._unverified = False
+        self._mismatched: set[str] = set()
         self.behind_since_s: float | None = None
         self._recent: deque[LogRecord] = deque()
         self._recent_bytes = 0
@@ -140,9 +141,12 @@
             return True
         if digest == self.fold.digest:
             self._unverified = False
+            self._mismatched.discard(source)
             return True
         self.counters["digest_mismatches"] += 1
-        _log.error("configuration {} has another digest at {}", version, source)
+        if source not in self._mismatched:
+            self._mismatched.add(source)
+            _log.error("configuration {} has another digest at {}", version, source)
         if not self._was_ready:
             self.fold.clear()
             self._unverified = False
--- a/anviltray/state/configuration/tests/test_fold_machine.py
+++ b/anviltray/state/configuration/tests/test_fold_machine.py
@@ -20,7 +20,7 @@
     set_floor,
     split_state,
 )
-from anviltray.state.exchange._config_sync import ConfigSync
+from anviltray.state.exchange._config_sync import ConfigSync, RegionRank
 from anviltray.state.tests.services import make_service, put
 from anviltray.testing import VirtualClockLoop, fuzz_settings
 
@@ -87,7 +87,7 @@
         )
         self.publisher = CommandPublisher(platform, store, self.follower.read)
         self.writer = SnapshotWriter(platform, store, lambda: 0, after_records=1, chunk_bytes=300)
-        self.sync = ConfigSync(store, "viti", lambda: tuple(self.links), lambda: 0)
+        self.sync = ConfigSync(store, "viti", lambda: tuple(self.links), lambda: RegionRank(0, 1))
         self.highest = -1
 
     def handle(self, link, message):
--- a/anviltray/state/exchange/_config_sync.py
+++ b/anviltray/state/exchange/_config_sync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from anviltray.messages import (
     ConfigAnnounce,
@@ -15,17 +16,25 @@
 _RECORDS_BYTES = 32768  # Largest answer to one request.
 _CHUNK_BYTES = 8192  # Snapshot part, small enough to let urgent messages pass between two parts.
 _PULL_TIMEOUT_S = 1.5  # Wait for an answer before another peer is asked.
-# A node that hears of a version only from another region leaves the pull to the nodes before it
-# in the rendezvous order of its region, this long for each, so that the payload crosses once.
-_RANK_DELAY_S = 0.25
-_RANK_LIMIT = 8
+# A node that hears of a version only from another region waits for a share of this time, by its
+# position in the rendezvous order of its region, so that the payload crosses about once.
+_SPREAD_S = 0.5
+# Nodes of a region that announce a change to other regions at once. If each node did, the
+# announcements would take more of the link than the payload. Anti-entropy covers their failure.
+_ANNOUNCERS = 2
+
+
+class RegionRank(NamedTuple):
+    """Position of this node in the rendezvous order of its region."""
+
+    position: int  # From 0.
+    nodes: int  # Nodes in the region.
 
 
 class ConfigSync:
     """Announces each new version to the peers and pulls versions that peers announce.
 
-    `rank` returns the position of this node among the nodes of its region that pull from other
-    regions.
+    `rank` returns the position of this node in its region.
     """
 
     def __init__(
@@ -33,7 +42,7 @@
         store: ConfigurationStore,
         region: str,
         links: Callable[[], Iterable[Link]],
-        rank: Callable[[], int],
+        rank: Callable[[], RegionRank],
     ) -> None:
         self._store = store
         self._region = region
@@ -125,8 +134,10 @@
 
     def _on_change(self, _: frozenset[str]) -> None:
         announcement = self._announcement()
+        announces_far = self._rank().position < _ANNOUNCERS
         for link in self._links():
-            if link.config_version < announcement.version:
+            near = link.peer.region == self._region
+            if link.config_version < announcement.version and (near or announces_far):
                 link.send(announcement)
 
     def _finish(self, link: Link) -> None:
@@ -153,7 +164,8 @@
         if not near and sources:
             since_s = self._store.behind_since_s
             waited_s = now_s - since_s if since_s is not None else 0.0
-            delay_s = min(self._rank(), _RANK_LIMIT) * _RANK_DELAY_S
+            rank = self._rank()
+            delay_s = _SPREAD_S * rank.position / max(1, rank.nodes)
             if waited_s < delay_s:
                 self._wake_at(now_s + delay_s - waited_s)
                 return
--- a/anviltray/state/exchange/_exchange.py
+++ b/anviltray/state/exchange/_exchange.py
@@ -35,7 +35,7 @@
 from anviltray.settings import Settings
 from anviltray.state.configuration import ConfigurationStore
 from anviltray.state.exchange._budget import ByteBudget
-from anviltray.state.exchange._config_sync import ConfigSync
+from anviltray.state.exchange._config_sync import ConfigSync, RegionRank
 from anviltray.state.exchange._connector import (
     CLOSE_TIMEOUT_S,
     OPEN_TIMEOUT_S,
@@ -111,6 +111,7 @@
         self._rng = rng
         self.counters: Counter[str] = Counter()
         self.membership = Membership(own, settings.exchange, rng)
+        self._hosts: tuple[HostEntry, ...] = ()
         self._links: dict[str, Link] = {}
         self._connecting: set[str] = set()
         self._backoff = Backoff()
@@ -165,7 +166,9 @@
     def set_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
         """Takes the platform's host list as a hint."""
         self.membership.hint(hosts)
-        self._wake.set()
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._wake.set()
 
     def send(self, message: Message) -> None:
         """Sends a message of this node to its peers."""
@@ -348,6 +351,7 @@
         return True
 
     def _link_up(self, link: Link) -> None:
+        self.membership.reached(link.peer.node)
         self._merge(link, self.membership.merge(self._now_s(), (link.peer,)))
         self._config.link_up(link)
         self._send_digest(link)
@@ -390,13 +394,21 @@
         if not self._flood_filter.is_new(now_s, message):
             self.counters["duplicate_messages"] += 1
             return
-        if isinstance(message, Query):
-            self._queries.on_query(link.peer.node, message)
-        for handler in self._handlers.get(type(message), ()):
-            handler(now_s, message)
+        self._handle(link, now_s, message)
         if not isinstance(message, LoadDigest):
             self._forward(message, link)
 
+    def _handle(self, link: Link, now_s: float, message: Message) -> None:
+        """Calls the handlers; an error in one of them must not close the connection."""
+        try:
+            if isinstance(message, Query):
+                self._queries.on_query(link.peer.node, message)
+            for handler in self._handlers.get(type(message), ()):
+                handler(now_s, message)
+        except Exception:
+            self.counters["handler_errors"] += 1
+            _log.exception("handler of {} failed", type(message).__name__)
+
     def _forward(self, message: Message, source: Link | None) -> None:
         """Queues a message for every peer but its source."""
         within_zone = isinstance(message, Counters)
@@ -556,16 +568,22 @@
                 self._connecting.add(address)
                 self._spawn(self._open(address))
 
-    def _region_rank(self) -> int:
-        """Position among the nodes of this region that pull from other regions."""
+    def _region_rank(self) -> RegionRank:
         region = self._location.region
         nodes = [member.node for member in self.membership.serving() if member.region == region]
-        return rendezvous_rank(f"pull|{region}", self.membership.own.node, nodes)
+        position = rendezvous_rank(f"configuration|{region}", self.membership.own.node, nodes)
+        return RegionRank(position, len(nodes))
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.counters["task_errors"] += 1
+            _log.critical("exchange task failed: {!r}", task.exception())
 
     @staticmethod
     def _now_s() -> float:
--- a/anviltray/state/exchange/tests/test_exchange.py
+++ b/anviltray/state/exchange/tests/test_exchange.py
@@ -59,7 +59,7 @@
         nodes = chain(MemoryPlatform(), 4)
         async with running(*nodes):
             await until(lambda: all(len(n.exchange.membership.usable()) == 4 for n in nodes))
-            await nodes[3].kill()
+            await nodes[3].abort()
             views = [n.exchange.membership for n in nodes[:3]]
             await until(lambda: all(v.members["n3"].status == "dead" for v in views))
             await nodes[2].stop()
@@ -77,7 +77,7 @@
             )
         async with running(*nodes):
             await until(lambda: all(len(n.exchange.peers) == 2 for n in nodes))
-            await nodes[2].kill()
+            await nodes[2].abort()
             result = await nodes[0].exchange.query("show nodes", 1.0)
             assert result.answers["n1"] == [{"node": "n1", "text": "show nodes"}]
             assert result.missing == ("n2",)
--- a/anviltray/state/exchange/tests/test_failures.py
+++ b/anviltray/state/exchange/tests/test_failures.py
@@ -183,7 +183,7 @@
         async with running(*nodes[:2]):
             await nodes[2].start()
             await until(lambda: know_all(nodes))
-            await nodes[2].kill()
+            await nodes[2].abort()
             again = StateNode(platform, "n2", seeds=[nodes[0].address])
             again.exchange.membership.own = own = again.exchange.membership.own._replace(
                 incarnation=1
@@ -333,6 +333,28 @@
     run_virtual(main(), SETTLE_S)
 
 
+def test_an_error_in_a_handler_does_not_close_the_connection():
+    async def main():
+        nodes = create(MemoryPlatform(), "viti/a", "viti/a")
+
+        def fail(*_):
+            raise KeyError("desk")
+
+        nodes[1].exchange.on(LoadDigest, fail)
+        async with running(*nodes):
+            await until(lambda: nodes[0].exchange.peers == ("n1",))
+            link = nodes[0].exchange._links["n1"]
+            nodes[1].exchange.set_query_handler(fail)
+            own = nodes[0].exchange.membership.own
+            nodes[0].exchange.send(digest(1)._replace(incarnation=own.incarnation))
+            result = await nodes[0].exchange.query("show nodes", 1.0)
+            assert result.missing == ("n1",)
+            assert nodes[1].exchange.counters["handler_errors"] == 2
+            assert nodes[0].exchange._links["n1"] is link
+
+    run_virtual(main(), SETTLE_S)
+
+
 def test_counters_stay_in_their_zone():
     async def main():
         nodes = create(MemoryPlatform(), "viti/a", "viti/a", "viti/b", "vanua/a")
--- a/anviltray/state/membership/_membership.py
+++ b/anviltray/state/membership/_membership.py
@@ -209,12 +209,16 @@
         pending = self._pending.get(sequence)
         if pending is None or not reached:
             return
+        self.reached(pending.target)
+
+    def reached(self, node: str) -> None:
+        """Ends all probes of a node that has been heard of on a new connection."""
         self._pending = {
-            number: item for number, item in self._pending.items() if item.target != pending.target
+            number: item for number, item in self._pending.items() if item.target != node
         }
-        member = self._members.get(pending.target)
+        member = self._members.get(node)
         if member is not None and member.status == "leaving":
-            self._suspected_s.pop(member.node, None)
+            self._suspected_s.pop(node, None)
 
     def step(self, now_s: float, connected: Iterable[str]) -> Step:
         """Moves overdue probes on: to relays, to suspicion, to death.
--- a/anviltray/state/tests/fleet.py
+++ b/anviltray/state/tests/fleet.py
@@ -5,14 +5,12 @@
 from contextlib import asynccontextmanager
 
 from anviltray.settings import build_settings
-from anviltray.state import CommandPublisher, LogFollower, reader_ranks
-from anviltray.state.configuration import ConfigurationStore
-from anviltray.state.exchange import Exchange
+from anviltray.state import StateTasks
 from anviltray.testing import free_address
 
 
-class StateNode:
-    """The state tasks of one node, wired as the node assembly wires them."""
+class StateNode(StateTasks):
+    """The state tasks of one node with an address of their own."""
 
     def __init__(self, platform, name, region="viti", zone="a", seeds=(), key=b"k", **exchange):
         settings = build_settings(
@@ -20,39 +18,16 @@
                 "node": name,
                 "region": region,
                 "zone": zone,
-                "caller_address": f"10.1.0.{abs(hash(name)) % 250}:80",
+                "caller_address": "127.0.0.1:1",
                 "peer_address": free_address(),
                 "operator_address": "127.0.0.1:1",
                 "platform": {"kind": "memory"},
                 "exchange": {"seeds": list(seeds), **exchange},
             }
         )
+        super().__init__(settings, platform, key, random.Random(name))
         self.name = name
         self.address = settings.peer_address
-        self.store = ConfigurationStore()
-        self.exchange = Exchange(settings, self.store, key, random.Random(name))
-        self.follower = LogFollower(
-            platform,
-            self.store,
-            lambda: reader_ranks(self.exchange.membership),
-            poll_interval_s=settings.platform.poll_interval_s,
-            readers_per_zone=settings.exchange.log_readers_per_zone,
-        )
-        self.publisher = CommandPublisher(platform, self.store, self.follower.read)
-        self._follower_task = None
-
-    async def start(self):
-        await self.exchange.start()
-        self._follower_task = asyncio.create_task(self.follower.run())
-
-    async def kill(self):
-        """Ends the node without telling its peers."""
-        self._follower_task.cancel()
-        await self.exchange.abort()
-
-    async def stop(self):
-        self._follower_task.cancel()
-        await self.exchange.stop()
 
 
 @asynccontextmanager
@@ -64,7 +39,7 @@
         yield
     finally:
         for node in nodes:
-            await node.kill()
+            await node.abort()
 
 
 async def until(condition, timeout_s=60.0):
--- a/anviltray/state/tests/test_log_tasks.py
+++ b/anviltray/state/tests/test_log_tasks.py
@@ -7,10 +7,12 @@
 from anviltray.platform import HostEntry, MemoryPlatform
 from anviltray.state import (
     CommandPublisher,
+    EmptyKey,
     HostListPoller,
     LogFollower,
     ReaderRanks,
     SnapshotWriter,
+    load_key,
     read_newest_snapshot,
 )
 from anviltray.state.configuration import (
@@ -338,3 +340,15 @@
         assert lists == [(entry,)]
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize(("text", "key"), [(b" secret\n", b"secret"), (b" \n", None)])
+def test_an_empty_key_file_does_not_disable_authentication(tmp_path, text, key):
+    path = tmp_path / "key"
+    path.write_bytes(text)
+    if key is not None:
+        assert load_key(str(path)) == key
+    else:
+        with pytest.raises(EmptyKey):
+            load_key(str(path))
+    assert load_key("") == b""
