--- a/anviltray/state/_log_follower.py
+++ b/anviltray/state/_log_follower.py
@@ -34,8 +34,8 @@
 
     The first node of a region reads the records. The other readers of each zone only ask for the
     offsets and read if the exchange does not deliver a record within BEHIND_S. `counters` holds
-    `reads`, `offset_reads`, `failures` and `uncovered`, the reads that found neither the next
-    record nor a snapshot after it.
+    `reads`, `read_bytes`, `offset_reads`, `failures` and `uncovered`, the reads that found neither
+    the next record nor a snapshot after it.
     """
 
     def __init__(
@@ -70,7 +70,8 @@
         silent = now_s - max(self._store.last_heard_s, self._started_s) >= SILENCE_S
         if ranks.region == 0 or silent:
             await self.read()
-        elif ranks.zone < self._readers_per_zone:
+        elif ranks.zone < self._readers_per_zone or self._store.ready_reason() is not None:
+            # A node that is not ready needs to learn where the log ends.
             await self._check_offsets()
 
     async def read(self) -> bool:
@@ -92,6 +93,7 @@
             batch = await self._platform.read(STREAM, self._store.version + 1, _READ_LIMIT)
         except OffsetTrimmed:
             return await self._load_snapshot()
+        self.counters["read_bytes"] += sum(len(record.payload) for record in batch.records)
         applied = self._store.apply(loop.time(), batch.records)
         self._store.read_to_end(loop.time(), batch.next_offset)
         return applied > 0 and self._store.version + 1 < batch.next_offset
--- a/anviltray/state/exchange/_exchange.py
+++ b/anviltray/state/exchange/_exchange.py
@@ -9,6 +9,7 @@
 import logbook
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
+from websockets.frames import CloseCode
 
 from anviltray.messages import (
     SCHEMA_VERSION,
@@ -34,7 +35,7 @@
 from anviltray.settings import Settings
 from anviltray.state.configuration import ConfigurationStore
 from anviltray.state.exchange._budget import ByteBudget
-from anviltray.state.exchange._config_sync import ConfigSync
+from anviltray.state.exchange._config_sync import ConfigSync, RegionRank
 from anviltray.state.exchange._connector import (
     CLOSE_TIMEOUT_S,
     OPEN_TIMEOUT_S,
@@ -110,6 +111,7 @@
         self._rng = rng
         self.counters: Counter[str] = Counter()
         self.membership = Membership(own, settings.exchange, rng)
+        self._hosts: tuple[HostEntry, ...] = ()
         self._links: dict[str, Link] = {}
         self._connecting: set[str] = set()
         self._backoff = Backoff()
@@ -123,6 +125,7 @@
         self._member_listeners: list[Callable[[Member], None]] = []
         self._key_states: dict[str, bool] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._closing: set[asyncio.Task[None]] = set()
         self._server: Server | None = None
         self._wake = asyncio.Event()
         self._stopping = False
@@ -163,7 +166,9 @@
     def set_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
         """Takes the platform's host list as a hint."""
         self.membership.hint(hosts)
-        self._wake.set()
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._wake.set()
 
     def send(self, message: Message) -> None:
         """Sends a message of this node to its peers."""
@@ -212,6 +217,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self._closing, return_exceptions=True)
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
@@ -222,16 +228,19 @@
         """Keeps connections to the selected peers open."""
         while True:
             self._wake.clear()
-            self._choose_peers()
+            complete = self._choose_peers()
+            # The selection takes milliseconds at fleet scale, so it is not repeated without need.
+            timeout_s = self._settings.ping_interval_s if not complete else _DIGEST_INTERVAL_S
             try:
-                async with asyncio.timeout(self._settings.ping_interval_s):
+                async with asyncio.timeout(timeout_s):
                     await self._wake.wait()
             except TimeoutError:
                 continue
             # Several changes within a short time cost one selection.
             await asyncio.sleep(self._settings.flush_interval_s)
 
-    def _choose_peers(self) -> None:
+    def _choose_peers(self) -> bool:
+        """Opens missing connections and closes surplus ones; returns True if none is missing."""
         now_s = self._now_s()
         candidates = {
             member.node: member
@@ -257,6 +266,7 @@
             for node, link in tuple(self._links.items()):
                 if link.opened_here and node not in chosen:
                     link.close()
+        return bool(candidates) and not missing
 
     async def _open(self, address: str) -> None:
         try:
@@ -321,7 +331,11 @@
             if self._links.get(link.peer.node) is link:
                 del self._links[link.peer.node]
                 self._link_down(link)
-            link.close()
+            closing = link.close(
+                CloseCode.GOING_AWAY if self._stopping else CloseCode.NORMAL_CLOSURE
+            )
+            self._closing.add(closing)
+            closing.add_done_callback(self._closing.discard)
 
     def _register(self, link: Link) -> bool:
         """Keeps one of two connections with the same node; both sides choose the same one."""
@@ -337,6 +351,7 @@
         return True
 
     def _link_up(self, link: Link) -> None:
+        self.membership.reached(link.peer.node)
         self._merge(link, self.membership.merge(self._now_s(), (link.peer,)))
         self._config.link_up(link)
         self._send_digest(link)
@@ -344,7 +359,7 @@
 
     def _link_down(self, link: Link) -> None:
         self._config.link_down(link)
-        if not self._stopping:
+        if not self._stopping and not link.closed_in_order:
             self.membership.lost(self._now_s(), link.peer.node)
         self._wake.set()
 
@@ -375,16 +390,25 @@
             or not self.membership.is_current(message.node, message.incarnation)
         ):
             return
+        link.has(message)
         if not self._flood_filter.is_new(now_s, message):
             self.counters["duplicate_messages"] += 1
             return
-        if isinstance(message, Query):
-            self._queries.on_query(link.peer.node, message)
-        for handler in self._handlers.get(type(message), ()):
-            handler(now_s, message)
+        self._handle(link, now_s, message)
         if not isinstance(message, LoadDigest):
             self._forward(message, link)
 
+    def _handle(self, link: Link, now_s: float, message: Message) -> None:
+        """Calls the handlers; an error in one of them must not close the connection."""
+        try:
+            if isinstance(message, Query):
+                self._queries.on_query(link.peer.node, message)
+            for handler in self._handlers.get(type(message), ()):
+                handler(now_s, message)
+        except Exception:
+            self.counters["handler_errors"] += 1
+            _log.exception("handler of {} failed", type(message).__name__)
+
     def _forward(self, message: Message, source: Link | None) -> None:
         """Queues a message for every peer but its source."""
         within_zone = isinstance(message, Counters)
@@ -413,7 +437,7 @@
             for link in tuple(self._links.values()):
                 if now_s - link.heard_s > _SILENT_PERIODS * period_s:
                     self.counters["silent_connections"] += 1
-                    link.close()
+                    link.close(CloseCode.TRY_AGAIN_LATER)
                     if self._links.get(link.peer.node) is link:
                         del self._links[link.peer.node]
                         self._link_down(link)
@@ -520,6 +544,7 @@
             if now_s >= next_stranger_s:
                 next_stranger_s = now_s + _STRANGER_INTERVAL_S
                 await self._probe_stranger()
+                self._try_seed()
 
     async def _probe_stranger(self) -> None:
         strangers = [
@@ -532,16 +557,33 @@
             if not await self._reach(node):
                 self.membership.lost(self._now_s(), node)
 
-    def _region_rank(self) -> int:
-        """Position among the nodes of this region that pull from other regions."""
+    def _try_seed(self) -> None:
+        """Connects to a seed that is no member, as after a partition that outlived the memory."""
+        now_s = self._now_s()
+        known = {member.peer_address for member in self.membership.usable()}
+        unknown = [address for address in self._settings.seeds if address not in known]
+        if unknown:
+            address = self._rng.choice(unknown)
+            if address not in self._connecting and not self._backoff.blocked(now_s, address):
+                self._connecting.add(address)
+                self._spawn(self._open(address))
+
+    def _region_rank(self) -> RegionRank:
         region = self._location.region
         nodes = [member.node for member in self.membership.serving() if member.region == region]
-        return rendezvous_rank(f"pull|{region}", self.membership.own.node, nodes)
+        position = rendezvous_rank(f"configuration|{region}", self.membership.own.node, nodes)
+        return RegionRank(position, len(nodes))
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.counters["task_errors"] += 1
+            _log.critical("exchange task failed: {!r}", task.exception())
 
     @staticmethod
     def _now_s() -> float:
--- a/anviltray/state/tests/test_log_tasks.py
+++ b/anviltray/state/tests/test_log_tasks.py
@@ -7,10 +7,12 @@
 from anviltray.platform import HostEntry, MemoryPlatform
 from anviltray.state import (
     CommandPublisher,
+    EmptyKey,
     HostListPoller,
     LogFollower,
     ReaderRanks,
     SnapshotWriter,
+    load_key,
     read_newest_snapshot,
 )
 from anviltray.state.configuration import (
@@ -133,18 +135,24 @@
 
 
 @pytest.mark.parametrize(
-    ("ranks", "peers_silent", "reads", "offset_reads"),
+    ("ranks", "ready", "peers_silent", "reads", "offset_reads"),
     [
-        ((0, 0), False, True, False),
-        ((1, 1), False, False, True),
-        ((9, 2), False, False, False),
-        ((9, 2), True, True, False),
+        ((0, 0), True, False, True, False),
+        ((1, 1), True, False, False, True),
+        ((9, 2), True, False, False, False),
+        ((9, 2), True, True, True, False),
+        ((9, 2), False, False, False, True),
     ],
 )
-def test_only_the_first_reader_of_a_region_reads_payloads(ranks, peers_silent, reads, offset_reads):
+def test_only_the_first_reader_of_a_region_reads_payloads(
+    ranks, ready, peers_silent, reads, offset_reads
+):
     async def main():
         platform = MemoryPlatform()
         reader = Reader(platform, ranks)
+        if ready:
+            reader.store.read_to_end(0.0, 0)
+            assert reader.store.ready_reason() is None
         task = asyncio.create_task(reader.follower.run())
         for _ in range(20):
             if not peers_silent:
@@ -332,3 +340,15 @@
         assert lists == [(entry,)]
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize(("text", "key"), [(b" secret\n", b"secret"), (b" \n", None)])
+def test_an_empty_key_file_does_not_disable_authentication(tmp_path, text, key):
+    path = tmp_path / "key"
+    path.write_bytes(text)
+    if key is not None:
+        assert load_key(str(path)) == key
+    else:
+        with pytest.raises(EmptyKey):
+            load_key(str(path))
+    assert load_key("") == b""
