--- a/anviltray/node/_context.py
+++ b/anviltray/node/_context.py
@@ -16,7 +16,7 @@
 from anviltray.messages import Member
 from anviltray.reports import BurnCounters
 from anviltray.settings import Settings
-from anviltray.state.configuration import ConfigurationStore, RouteTable
+from anviltray.state.configuration import ConfigurationStore
 from anviltray.state.exchange import Exchange
 from anviltray.telemetry import Metrics
 from anviltray.upstreams import UpstreamClient
@@ -69,8 +69,6 @@
         self.listening = False
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        self._routes = RouteTable({})
-        self._known: dict[str, Service] = {}
         self._states: dict[str, _ServiceState] = {}
         self._places: tuple[NodePlace, ...] = (
             NodePlace(settings.node, settings.region, settings.zone),
@@ -82,16 +80,10 @@
     def configure(self, changed: Iterable[str]) -> None:
         """Takes over the services in force, of which `changed` may differ."""
         services = self.store.fold.services
-        if not self._known:
-            self._routes = RouteTable(services)
         for name in changed:
-            old, new = self._known.pop(name, None), services.get(name)
-            self._routes.update(old, new)
-            if new is None:
+            if name not in services:
                 self._states.pop(name, None)
-                continue
-            self._known[name] = new
-            if name not in self._states:
+            elif name not in self._states:
                 self._states[name] = self._new_state()
         now_s = self._loop.time()
         self.board.configure(services, now_s)
@@ -151,7 +143,7 @@
         """Returns the service of a request, None also while the configuration may be stale."""
         if self._blocked is not None:
             return None
-        return self._routes.route(host, path)
+        return self.store.fold.routes.route(host, path)
 
     def rule_for(self, service: Service, method: str, path: str) -> RetryRule | None:
         """Returns the rule that makes a request repeatable."""
@@ -177,7 +169,7 @@
 
     def completed(self, service: str, status: int, latency_s: float, outcome: Outcome) -> None:
         """Counts an answered request; a status below 500 within the objective is good."""
-        declared = self._known.get(service)
+        declared = self.services.get(service)
         if declared is None:
             return
         good = status < 500 and latency_s * 1000.0 <= declared.objective_latency_ms
@@ -205,7 +197,7 @@
 
     def has_service(self, service: str) -> bool:
         """Tells whether the service is declared."""
-        return service in self._known
+        return service in self.services
 
     def node_address(self, node: str, incarnation: int) -> str | None:
         """Returns the caller address of exactly that incarnation, None if it is not known."""
@@ -224,4 +216,4 @@
     @property
     def services(self) -> Mapping[str, Service]:
         """The services in force."""
-        return self._known
+        return self.store.fold.services
--- a/anviltray/node/_daemon.py
+++ b/anviltray/node/_daemon.py
@@ -12,6 +12,7 @@
 from anviltray.node._node import Node
 from anviltray.schema import DocumentError
 from anviltray.settings import Settings, load_settings
+from anviltray.state import EmptyKey
 from anviltray.telemetry import set_up_logs
 
 _log = logbook.Logger("anviltray.node")
@@ -40,6 +41,9 @@
         # Named explicitly, since uvloop, where it is installed, would use io_uring.
         with asyncio.Runner(loop_factory=asyncio.SelectorEventLoop) as runner:
             return runner.run(_run(loaded))
+    except EmptyKey as error:
+        print(f"anviltrayd: {settings}: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
     except OSError as error:
         print(f"anviltrayd: {settings}: {error}", file=sys.stderr)
         return EXIT_ADDRESS
--- a/anviltray/node/_node.py
+++ b/anviltray/node/_node.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 from collections.abc import Coroutine, Iterator
-from pathlib import Path
 from typing import Any
 
 import logbook
@@ -29,16 +28,7 @@
 from anviltray.platform import HostEntry, Platform
 from anviltray.reports import BurnCollector
 from anviltray.settings import Settings
-from anviltray.state import (
-    CommandPublisher,
-    HostListPoller,
-    LogFollower,
-    SnapshotWriter,
-    reader_ranks,
-    snapshot_rank,
-)
-from anviltray.state.configuration import ConfigurationStore
-from anviltray.state.exchange import Exchange
+from anviltray.state import StateTasks, load_key
 from anviltray.state.membership import rendezvous_rank
 from anviltray.telemetry import Metrics
 
@@ -61,51 +51,36 @@
         rng = random.Random(secrets.randbits(64))
         kind = settings.platform.kind
         self.platform = platform if platform is not None else platforms[kind](settings.platform)
-        self.store = ConfigurationStore()
-        key = _read_key(settings.peer_key_file)
-        self.exchange = Exchange(settings, self.store, key, rng)
-        self.context = NodeContext(settings, self.store, self.exchange, self.metrics, rng)
-        self._follower = LogFollower(
-            self.platform,
-            self.store,
-            lambda: reader_ranks(self.exchange.membership),
-            poll_interval_s=settings.platform.poll_interval_s,
-            readers_per_zone=settings.exchange.log_readers_per_zone,
-        )
-        self._snapshots = SnapshotWriter(
-            self.platform,
-            self.store,
-            lambda: snapshot_rank(self.exchange.membership),
-            after_records=settings.platform.snapshot_after_records,
-            chunk_bytes=settings.platform.snapshot_chunk_bytes,
-        )
-        self._hosts = HostListPoller(self.platform, settings.platform.host_list_interval_s)
+        key = load_key(settings.peer_key_file)
+        self.state = StateTasks(settings, self.platform, key, rng)
+        self.exchange = self.state.exchange
+        self.context = NodeContext(settings, self.state.store, self.exchange, self.metrics, rng)
         self._collector = BurnCollector(settings.zone)
         self._burn_log = BurnLog(self.platform, self._collector, settings.zone, self._zone_rank)
-        publisher = CommandPublisher(self.platform, self.store, self._follower.read)
-        self._view = OperatorView(self.context, publisher, self._burn_log)
+        self._view = OperatorView(self.context, self.state.publisher, self._burn_log)
         self._tasks: list[asyncio.Task[Any]] = []
         self._serving: list[asyncio.Task[Any]] = []
         self._stop_callers = asyncio.Event()
         self._stop_operators = asyncio.Event()
-        self._attach_counters(publisher)
+        self._attach_counters()
         self._subscribe()
 
-    def _attach_counters(self, publisher: CommandPublisher) -> None:
+    def _attach_counters(self) -> None:
+        state = self.state
         for prefix, owner in (
-            ("exchange", self.exchange),
-            ("configuration", self.store),
-            ("log", self._follower),
-            ("snapshots", self._snapshots),
-            ("hosts", self._hosts),
-            ("commands", publisher),
+            ("exchange", state.exchange),
+            ("configuration", state.store),
+            ("log", state.follower),
+            ("snapshots", state.snapshot_writer),
+            ("hosts", state.hosts),
+            ("commands", state.publisher),
         ):
             self.metrics.attach(prefix, owner.counters)
 
     def _subscribe(self) -> None:
         exchange, context = self.exchange, self.context
-        self.store.subscribe(context.configure)
-        self._hosts.subscribe(self._take_hosts)
+        self.state.store.subscribe(context.configure)
+        self.state.hosts.subscribe(self._take_hosts)
         exchange.on(Evidence, context.board.peer_evidence)
         exchange.on(Ejection, context.board.peer_ejection)
         exchange.on(LoadDigest, context.loads.peer_load)
@@ -121,8 +96,8 @@
             raise RuntimeError(f"{type(loop).__module__} is not the standard event loop")
         callers = bind(self.settings.caller_address)
         operators = bind(self.settings.operator_address)
-        await self.exchange.start()
-        key = _read_key(self.settings.operator_key_file)
+        await self.state.start()
+        key = load_key(self.settings.operator_key_file)
         operator_application = create_operator_application(self._view, key)
         self._serving = [
             asyncio.create_task(
@@ -137,9 +112,6 @@
             asyncio.create_task(self._serve_operators(operator_application, operators)),
         ]
         for task in (
-            self._follower.run(),
-            self._snapshots.run(),
-            self._hosts.run(),
             self._burn_log.run(),
             self.metrics.run(),
             self._update_board(),
@@ -173,7 +145,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._serving:
-            await self.exchange.stop()
+            await self.state.stop()
         await asyncio.gather(*self._serving, return_exceptions=True)
         await self.context.upstreams.close()
         await self.platform.close()
@@ -202,7 +174,6 @@
     # Membership and host list
 
     def _take_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
-        self.exchange.set_hosts(hosts)
         now_s = asyncio.get_running_loop().time()
         leaving = (
             host.address for host in hosts if host.role == "upstream" and host.state == "leaving"
@@ -305,7 +276,3 @@
     except Exception:
         _log.exception("a task of the node has failed")
         raise
-
-
-def _read_key(path: str) -> bytes:
-    return Path(path).read_bytes().strip() if path else b""
--- a/anviltray/node/tests/test_daemon.py
+++ b/anviltray/node/tests/test_daemon.py
@@ -66,6 +66,16 @@
     assert str(path) in errors and errors.count("\n") == 1
 
 
+def test_empty_key_file_ends_the_start(tmp_path):
+    key = tmp_path / "key"
+    key.write_text("\n", encoding="utf-8")
+    path, _ = write_settings(tmp_path, peer_key_file=str(key))
+    process = start(path)
+    _, errors = process.communicate(timeout=BOUND_S)
+    assert process.returncode == 2
+    assert "empty" in errors and "Traceback" not in errors
+
+
 def test_address_in_use_is_one_line(tmp_path):
     path, settings = write_settings(tmp_path)
     first = start(path)
