--- a/anviltray/callers/tests/test_attempts.py
+++ b/anviltray/callers/tests/test_attempts.py
@@ -249,27 +249,30 @@
             here.context.nodes["n3"] = there.address
             loop = await here.call("POST /crews", Anviltray_Request_Id="n3.1.0.a")
             assert (loop.status, loop.headers["anviltray-outcome"]) == (502, "unknown")
+            assert here.context.upstreams.open_connections(there.address) == 1
             assert len(upstream.requests) == 1
 
     asyncio.run(main())
 
 
-def test_silent_reused_connection_is_followed_by_a_new_one():
-    """A middlebox that forgot a connection makes it silent; the instance itself is healthy."""
-    silent_connections = set()
+def test_silent_idle_connections_are_followed_by_a_new_one():
+    """A middlebox that forgot its connections makes them silent; the instance is healthy."""
+    silent = set()
 
     async def answer(request, writer):
-        if writer in silent_connections:
+        if writer in silent:
             await asyncio.sleep(30)
-        silent_connections.add(writer)
+        silent.add(writer)
+        await asyncio.sleep(0.05)
         return await ok()(request, writer)
 
     async def test(node, upstreams):
-        assert (await node.call("GET /levels")).status == 200
+        await asyncio.gather(*(node.call("GET /levels") for _ in range(3)))
+        assert upstreams[0].connections == 3
         response = await node.call("GET /levels", Anviltray_Deadline_Ms=600)
         assert response.status == 200
-        assert node.context.board.outcomes == ["ok", "timed_out", "ok"]
-        assert upstreams[0].connections == 2
+        assert node.context.board.outcomes == ["ok"] * 3 + ["timed_out", "ok"]
+        assert upstreams[0].connections == 4
 
     run([answer], test)
 
--- a/anviltray/callers/tests/test_proxy.py
+++ b/anviltray/callers/tests/test_proxy.py
@@ -29,7 +29,10 @@
     async def main():
         async with Upstream(ok(b"answer")) as upstream, Node() as node:
             node.context.board.addresses = (upstream.address,)
-            response = await node.call(head, body, X_Own="ü", Connection="X-Hop", X_Hop="1")
+            spoofed = {"X_Request_Id": "n1.1.0.other", "X_Deadline_Ms": "999999"}
+            response = await node.call(
+                head, body, X_Own="ü", Connection="X-Hop", X_Hop="1", **spoofed
+            )
             request = upstream.requests[0]
             assert response.status == status
             assert response.headers["anviltray-outcome"] == "done"
@@ -41,6 +44,7 @@
             assert request.headers["x-own"] == "ü".encode().decode("latin-1")
             assert 0 < int(request.headers["x-deadline-ms"]) <= 30_000
             assert ("x-request-id" in request.headers) == (not node.context.rule_for_head(head))
+            assert request.headers.get("x-request-id") != "n1.1.0.other"
             assert "user-agent" not in request.headers
             assert node.context.board.outcomes == ["ok"]
             assert node.context.loads.outstanding == node.context.the_admission.running == 0
--- a/anviltray/upstreams/tests/test_client.py
+++ b/anviltray/upstreams/tests/test_client.py
@@ -2,6 +2,8 @@
 outgrow their bounds."""
 
 import asyncio
+import os
+import socket
 
 import pytest
 
@@ -112,6 +114,28 @@
     run(test, answer)
 
 
+@pytest.mark.parametrize("stray", [b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", b""])
+def test_input_that_was_not_read_yet_keeps_a_connection_from_being_reused(stray):
+    """The bytes, or the end, are in the kernel, but the event loop has not seen them."""
+    writers = []
+
+    async def answer(request, writer):
+        writers.append(writer)
+        return await ok(b"own")(request, writer)
+
+    async def test(client, upstream):
+        await exchange(client, upstream.address)
+        sock = writers[0].get_extra_info("socket")
+        if stray:
+            os.write(sock.fileno(), stray)
+        else:
+            sock.shutdown(socket.SHUT_WR)
+        _, body, observer = await exchange(client, upstream.address)
+        assert body == b"own" and observer.fresh
+
+    run(test, answer)
+
+
 def test_an_abandoned_exchange_closes_its_connection():
     async def answer(request, writer):
         await asyncio.sleep(0.2)
