--- a/anviltray/decisions/detection/_consecutive_errors.py
+++ b/anviltray/decisions/detection/_consecutive_errors.py
@@ -37,6 +37,9 @@
         self._errors = {address: self._errors.get(address, 0) for address in addresses}
         self._until_s = {a: until_s for a, until_s in self._until_s.items() if a in self._errors}
 
+    def tune(self, sensitivity: Sensitivity) -> None:
+        """The baseline has no sensitivity."""
+
     def started(self, now_s: float, address: str, number: int, fresh_connection: bool) -> None:
         self._exchanges[number] = address
 
--- a/anviltray/decisions/detection/_latency.py
+++ b/anviltray/decisions/detection/_latency.py
@@ -39,8 +39,6 @@
     """
 
     def __init__(self, survival_floor: float, tolerance: float) -> None:
-        self._floor = survival_floor
-        self._shift = round(log2(tolerance) * _BINS_PER_OCTAVE)
         self._counts = _prior_counts()
         self._total = _PRIOR_WEIGHT
         self._pending = 0
@@ -49,6 +47,12 @@
         self.finished_scores: list[float] = []
         self.age_scores: list[float] = []
         self.quiet_age_s = 0.0
+        self.tune(survival_floor, tolerance)
+
+    def tune(self, survival_floor: float, tolerance: float) -> None:
+        """Sets how much one duration may prove; the learned distribution stays."""
+        self._floor = survival_floor
+        self._shift = round(log2(tolerance) * _BINS_PER_OCTAVE)
         self._tabulate()
 
     @staticmethod
--- a/anviltray/decisions/detection/_likelihood.py
+++ b/anviltray/decisions/detection/_likelihood.py
@@ -115,6 +115,12 @@
         for address in sorted(wanted - self._watches.keys()):
             self._watches[address] = _Watch(address)
 
+    def tune(self, sensitivity: Sensitivity) -> None:
+        self._sensitivity = sensitivity
+        for model in (self._wait_model, self._body_model):
+            model.tune(sensitivity.survival_floor, sensitivity.latency_tolerance)
+        self._set_outcome_scores()
+
     def started(self, now_s: float, address: str, number: int, fresh_connection: bool) -> None:
         watch = self._watches.get(address)
         if watch is not None:
--- a/anviltray/decisions/detection/_types.py
+++ b/anviltray/decisions/detection/_types.py
@@ -47,6 +47,9 @@
     def watch(self, addresses: Collection[str]) -> None:
         """Sets the upstreams; evidence about others is dropped."""
 
+    def tune(self, sensitivity: Sensitivity) -> None:
+        """Changes the sensitivity and keeps what is known."""
+
     def started(self, now_s: float, address: str, number: int, fresh_connection: bool) -> None:
         """An exchange was sent."""
 
--- a/anviltray/decisions/draining/_leaving.py
+++ b/anviltray/decisions/draining/_leaving.py
@@ -65,6 +65,8 @@
             self._announce(address, "operator", True)
         for address in self._operator - wanted:
             self._news.get("operator", {}).pop(address, None)
+        if not self._news.get("operator", True):
+            del self._news["operator"]
         self._operator = wanted
         self._merge(now_s)
 
--- a/anviltray/decisions/ejection/_board.py
+++ b/anviltray/decisions/ejection/_board.py
@@ -26,6 +26,9 @@
 
 _MESSAGE_UPSTREAMS = 8
 
+# Largest share of the threshold that one node contributes to the sum of all.
+_NODE_SHARE = 0.5
+
 # An upstream on trial is removed again by this share of the threshold.
 _TRIAL_SHARE = 1 / 3
 
@@ -213,8 +216,10 @@
         messages: list[Evidence | Ejection] = []
         changes: list[StateChange] = []
         for name, state in states.items():
-            self._weigh(now_s, state, surveys[name])
+            self._weigh(now_s, state)
             quiet = not (state.consensus or state.busy or state.heard)
+            self._hear(now_s, state)
+            quiet = quiet and not state.heard
             changed = [] if quiet else list(self._decide(now_s, state))
             changes += changed
             if changed or state.busy or state.heard:
@@ -239,17 +244,21 @@
                 self._settle(state, now_s)
 
     def _settle(self, state: ServiceState, now_s: float) -> None:
-        state.heard = {}
-        for _, heard in self._peers.ejections(now_s, state.service.name):
-            for address in heard.addresses:
-                state.heard.setdefault(address, []).append(heard.expires_s)
+        self._hear(now_s, state)
         if state.settle(now_s, self._leaving, self._generation + 1):
             self._generation += 1
             self._routable[state.service.name] = state.routable
         if state.busy:
             self._touched[state.service.name] = state
 
-    def _weigh(self, now_s: float, state: ServiceState, survey: Mapping[str, Reading]) -> None:
+    def _hear(self, now_s: float, state: ServiceState) -> None:
+        """Notes until when peers have ejected upstreams of a service."""
+        state.heard = {}
+        for _, heard in self._peers.ejections(now_s, state.service.name):
+            for address in heard.addresses:
+                state.heard.setdefault(address, []).append(heard.expires_s)
+
+    def _weigh(self, now_s: float, state: ServiceState) -> None:
         """Adds up the evidence of all nodes, as it is sent, so that all nodes get equal sums."""
         name = state.service.name
         stated = [(node, item.upstreams) for node, item in self._peers.evidence(now_s, name)]
@@ -270,14 +279,17 @@
             state.sent = state.published
             state.evidence_sent_s = now_s
         chance = log(max(self._peers.node_count + 1, len(self._nodes)))
+        # One node with a broken path must not eject together with chance at another one.
+        share = state.sensitivity.threshold * _NODE_SHARE
         sums: dict[str, list[float]] = {}
         for upstreams in (state.sent, *(upstreams for _, upstreams in stated)):
             for address, item in upstreams.items():
                 total = sums.setdefault(address, [0.0, 0, 0])
-                if item.log_likelihood_ratio > 0:
-                    total[0] += max(0.0, item.log_likelihood_ratio - chance)
+                excess = item.log_likelihood_ratio - chance
+                if excess > 0:
+                    total[0] += min(excess, share)
                     total[1] += 1
-                else:
+                elif item.log_likelihood_ratio < 0:
                     total[2] += 1
         state.consensus = {a: Consensus(t[0], int(t[1]), int(t[2])) for a, t in sums.items()}
 
--- a/anviltray/decisions/ejection/_service.py
+++ b/anviltray/decisions/ejection/_service.py
@@ -51,6 +51,7 @@
         first = not self.members
         if service.sensitivity != self.service.sensitivity:
             self.sensitivity = SENSITIVITIES[service.sensitivity]
+            self.detector.tune(self.sensitivity)
         self.service = service
         self.floor = floor_slots(service)
         members = {}
