--- a/standins/fleet/_fleet.py
+++ b/standins/fleet/_fleet.py
@@ -261,7 +261,11 @@
 
     async def command(self, node: NodeHandle, text: str, deadline_s: float = 5.0) -> dict[str, Any]:
         """Returns the answer of a node to a command of the operator language."""
-        data = {"command_id": secrets.token_hex(8), "operator": "fleet", "reason": "test"}
+        data: dict[str, Any] = {
+            "command_id": secrets.token_hex(8),
+            "operator": "fleet",
+            "reason": "test",
+        }
         data |= {"text": text, "deadline_s": deadline_s}
         return await self._operate(node, "command", data)
 
