--- a/anviltray/decisions/attempts/tests/test_table.py
+++ b/anviltray/decisions/attempts/tests/test_table.py
@@ -34,39 +34,40 @@
     return type(result) is type(expected) and result == expected
 
 
+def serve(attempts, now_s, *request_ids, stored=None):
+    for request_id in request_ids:
+        attempts.arrive(now_s, request_id)
+        attempts.finish(now_s, request_id, "done", stored)
+
+
 def response(body=b"ok"):
     return StoredResponse(201, (), body)
 
 
-@pytest.mark.parametrize(
-    ("request_id", "result"),
-    [
-        ("n1.ab.5.x", Start("n1.ab.5.x")),
-        ("n1.ab.4." + "x" * 64, Start("n1.ab.4." + "x" * 64)),
-        ("n1.ab.4." + "x" * 65, MALFORMED),
-        ("n1.ab.3.x", Expired()),
-        ("n1.ab.6.x", INVENTED),
-        ("n1.ab.5.-1", Expired()),
-        ("n1.ac.5.x", Expired()),
-        ("n2.ac.5.x", Forward("n2", 0xAC)),
-        ("n2.ac.ffffffffff.x", Forward("n2", 0xAC)),
-        ("n1.AB.5.x", MALFORMED),
-        ("n1.0ab.5.x", MALFORMED),
-        ("n1.ab.05.x", MALFORMED),
-        ("n1.ab.5.", MALFORMED),
-        ("n1.ab.5", MALFORMED),
-        ("n1.ab.5.x.y", MALFORMED),
-        ("n1.ab.5.x\n", MALFORMED),
-        ("n1.ab.5.é", MALFORMED),
-        ("n1.ab.-5.x", MALFORMED),
-        ("n1.ab." + "1" * 17 + ".x", MALFORMED),
-        ("N1.ab.5.x", MALFORMED),
-        ("", MALFORMED),
-    ],
+FIRST_ARRIVALS = {
+    "n1.ab.5.x": Start("n1.ab.5.x"),
+    "n1.ab.4." + "x" * 64: Start("n1.ab.4." + "x" * 64),
+    "n1.ab.3.x": Expired(),
+    "n1.ab.6.x": INVENTED,
+    "n1.ab.5.-1": Expired(),
+    "n1.ac.5.x": Expired(),
+    "n2.ac.5.x": Forward("n2", 0xAC),
+    "n2.ac.ffffffffff.x": Forward("n2", 0xAC),
+    "": MALFORMED,
+    "n1.ab.5.x\n": MALFORMED,
+    "n1.ab.4." + "x" * 65: MALFORMED,
+    "n1.ab." + "1" * 17 + ".x": MALFORMED,
+}
+WRONG = (
+    "n1.AB.5.x n1.0ab.5.x n1.ab.05.x n1.ab.5. n1.ab.5 n1.ab.5.x.y n1.ab.5.é n1.ab.-5.x N1.ab.5.x"
 )
-def test_first_arrival(request_id, result):
+FIRST_ARRIVALS.update(dict.fromkeys(WRONG.split(), MALFORMED))
+
+
+@pytest.mark.parametrize("request_id", FIRST_ARRIVALS)
+def test_first_arrival(request_id):
     """A wrong answer here starts what another node owns, or refuses what may have run."""
-    assert same(table().arrive(55.0, request_id), result)
+    assert same(table().arrive(55.0, request_id), FIRST_ARRIVALS[request_id])
 
 
 def test_prefix_and_epoch_follow_the_clock_and_never_go_back():
@@ -108,16 +109,12 @@
 def test_full_table_refuses_and_a_refused_identifier_never_starts():
     """Guards against a delayed copy that starts after its caller was told not-run."""
     attempts = table()
-    for suffix in "abc":
-        attempts.arrive(50.0, f"n1.ab.5.{suffix}")
-        attempts.finish(50.0, f"n1.ab.5.{suffix}", "done", None)
+    serve(attempts, 50.0, "n1.ab.5.a", "n1.ab.5.b", "n1.ab.5.c")
     assert same(attempts.arrive(51.0, "n1.ab.5.d"), FULL)
     assert same(attempts.arrive(51.0, None), FULL)
     assert same(attempts.arrive(51.0, "n1.ab.5.a"), Known("done"))
     attempts = table()
-    for suffix in "abc":
-        attempts.arrive(40.0, f"n1.ab.4.{suffix}")
-        attempts.finish(40.0, f"n1.ab.4.{suffix}", "done", None)
+    serve(attempts, 40.0, "n1.ab.4.a", "n1.ab.4.b", "n1.ab.4.c")
     assert same(attempts.arrive(51.0, "n1.ab.5.d"), FULL)
     assert same(attempts.arrive(60.0, "n1.ab.5.d"), FULL)
     assert same(attempts.arrive(60.0, "n1.ab.6.d"), Start("n1.ab.6.d"))
@@ -147,9 +144,8 @@
 
 def test_stored_responses_are_bounded_and_the_oldest_goes_first():
     attempts = table()
-    for suffix, body in [("a", b"123456"), ("b", b"123456"), ("c", b"1")]:
-        attempts.arrive(50.0, f"n1.ab.5.{suffix}")
-        attempts.finish(50.0, f"n1.ab.5.{suffix}", "done", response(body))
+    serve(attempts, 50.0, "n1.ab.5.a", "n1.ab.5.b", stored=response(b"123456"))
+    serve(attempts, 50.0, "n1.ab.5.c", stored=response(b"1"))
     assert same(attempts.arrive(50.0, "n1.ab.5.a"), Known("done"))
     assert same(attempts.arrive(50.0, "n1.ab.5.b"), Replay(response(b"123456")))
     assert same(attempts.arrive(50.0, "n1.ab.5.c"), Replay(response(b"1")))
--- a/anviltray/decisions/retries/__init__.py
+++ b/anviltray/decisions/retries/__init__.py
@@ -1,6 +1,7 @@
-"""Retries: which requests may be repeated, and how many extra attempts a service may cause."""
+"""Retries: what may be repeated, how many extra attempts it may cause, and when to hedge."""
 
 from anviltray.decisions.retries._budget import RetryBudget
+from anviltray.decisions.retries._hedge import hedge_delay_s
 from anviltray.decisions.retries._rules import rule_for
 
-__all__ = ["RetryBudget", "rule_for"]
+__all__ = ["RetryBudget", "hedge_delay_s", "rule_for"]
--- a/anviltray/decisions/retries/tests/test_retries.py
+++ b/anviltray/decisions/retries/tests/test_retries.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from anviltray.decisions.retries import RetryBudget, rule_for
+from anviltray.decisions.retries import RetryBudget, hedge_delay_s, rule_for
 from anviltray.declarations import RetryRule, Service
 
 READS = RetryRule(("GET", "HEAD"), "/levels", 2, False)
@@ -62,3 +62,11 @@
     budget = RetryBudget()
     assert not budget.take(0.0, retries_elsewhere=True)
     assert budget.take(0.0)
+
+
+@pytest.mark.parametrize(
+    ("rule", "usual_s", "delay_s"),
+    [(None, 0.1, None), (READS, 0.1, None), (DEEP, 0.1, 0.44), (DEEP, 0.001, 0.02)],
+)
+def test_only_rules_that_allow_it_are_hedged(rule, usual_s, delay_s):
+    assert hedge_delay_s(rule, usual_s) == (delay_s and pytest.approx(delay_s))
--- a/anviltray/decisions/routing/tests/test_routers.py
+++ b/anviltray/decisions/routing/tests/test_routers.py
@@ -38,6 +38,14 @@
             board.ended(now_s, address, latency_s, load)
 
 
+def even_load():
+    router, board = build()
+    four = routable(*(upstream(f"z{number}") for number in range(4)))
+    counts(router, four, 1)
+    report(board, {f"z{number}": 0.3 for number in range(4)})
+    return router, board, four
+
+
 @pytest.mark.parametrize("name", list(routers))
 def test_every_router_spreads_evenly_and_honours_exclude(name):
     router, _ = build(name)
@@ -106,30 +114,23 @@
     assert 0 < share < 2.2 * weight / (9 + weight)
 
 
-@pytest.mark.parametrize(
-    "disturb",
-    [
-        lambda board: [board.started("z0") for _ in range(8)],
-        lambda board: report(board, {"z0": 1.0}),
-        lambda board: report(board, {"z0": 0.3}, latency_s=0.2),
-    ],
-    ids=["outstanding", "reported", "latency"],
-)
-def test_avoids_the_loaded_upstream(disturb):
-    router, board = build()
-    four = routable(*(upstream(f"z{number}") for number in range(4)))
-    counts(router, four, 1)
-    report(board, {f"z{number}": 0.3 for number in range(4)})
-    disturb(board)
+DISTURBANCES = {
+    "outstanding": lambda board: [board.started("z0") for _ in range(8)],
+    "reported": lambda board: report(board, {"z0": 1.0}),
+    "latency": lambda board: report(board, {"z0": 0.3}, latency_s=0.2),
+}
+
+
+@pytest.mark.parametrize("kind", DISTURBANCES)
+def test_avoids_the_loaded_upstream(kind):
+    router, board, four = even_load()
+    DISTURBANCES[kind](board)
     assert counts(router, four)["z0"] < 120
 
 
 def test_old_report_loses_its_weight():
     """A report that kept its weight would starve an upstream that nobody asks any more."""
-    router, board = build()
-    four = routable(*(upstream(f"z{number}") for number in range(4)))
-    counts(router, four, 1)
-    report(board, {f"z{number}": 0.3 for number in range(4)})
+    router, board, four = even_load()
     report(board, {"z0": 0.9})
     fresh = counts(router, four, now_s=0.0)["z0"]
     report(board, {f"z{number}": 0.3 for number in range(1, 4)}, now_s=60.0)
