Divide the connections of an instance among the nodes

Cause: an instance accepts 400 connections from all nodes together, and only the router knows which nodes use it. Change: routers tell how many connections this node may open to an upstream; own zone, own region and other regions share them 2:1:1. Figures: with 400 nodes and 100 instances, 48 and 8, 48 and 30, 4 and 8, no instance gets more than 400 connections and none is left without users (test). Conclusion: complete for the current scale; at 3,800 nodes on one service the least subset of two upstreams would exceed the limit, which is not measured.

--- a/anviltray/decisions/routing/_baselines.py
+++ b/anviltray/decisions/routing/_baselines.py
@@ -26,6 +26,10 @@
         self._rng = rng
         self._next: dict[str, int] = {}
 
+    def connections(self, service: str, address: str) -> int:
+        """Returns the connections of an instance: baselines do not share them."""
+        return 400
+
     def set_nodes(self, nodes: Sequence[NodePlace]) -> None:
         """Does nothing: every node uses every upstream."""
 
@@ -66,6 +70,10 @@
     ) -> None:
         self._rng = rng
 
+    def connections(self, service: str, address: str) -> int:
+        """Returns the connections of an instance: baselines do not share them."""
+        return 400
+
     def set_nodes(self, nodes: Sequence[NodePlace]) -> None:
         """Does nothing: every node uses every upstream."""
 
--- a/anviltray/decisions/routing/_interface.py
+++ b/anviltray/decisions/routing/_interface.py
@@ -31,6 +31,9 @@
     ) -> RoutableUpstream | None:
         """Returns the upstream for one request, or None if no allowed one is left."""
 
+    def connections(self, service: str, address: str) -> int:
+        """Returns how many connections this node may open to an upstream."""
+
     def set_nodes(self, nodes: Sequence[NodePlace]) -> None:
         """Sets the live nodes, including this one, that share the upstreams."""
 
--- a/anviltray/decisions/routing/_two_choices.py
+++ b/anviltray/decisions/routing/_two_choices.py
@@ -10,7 +10,12 @@
 from anviltray.decisions.limits import LinkBudget, LinkUse
 from anviltray.decisions.routing._board import NEVER_S, LoadBoard, ServiceMeans, UpstreamRecord
 from anviltray.decisions.routing._interface import NodePlace, routers
-from anviltray.decisions.routing._subset import choose_subset, node_rank, subset_size
+from anviltray.decisions.routing._subset import (
+    choose_subset,
+    connection_limit,
+    node_rank,
+    subset_size,
+)
 
 # Trust in a report or latency falls to zero at this age; the rest is the mean of the service. A
 # trust that never reached zero would starve an upstream whose last report was slightly worse.
@@ -62,6 +67,7 @@
     generation: int
     nodes_generation: int
     tiers: tuple[_Tier | None, ...]  # Own zone, own region, other regions.
+    connections: dict[str, int]  # Connections that this node may open to each upstream.
     means: ServiceMeans  # What unknown and old values are replaced by.
 
 
@@ -135,6 +141,15 @@
                     best = other
         return best.upstream if best is not None else None
 
+    def connections(self, service: str, address: str) -> int:
+        """Returns how many connections this node may open to an upstream.
+
+        The shares of all nodes that use an upstream stay within what it accepts as long as each
+        can have one. Zero for an upstream that this node does not use.
+        """
+        plan = self._plans.get(service)
+        return plan.connections.get(address, 0) if plan is not None else 0
+
     def _build(self, routable: RoutableSet) -> _Plan:
         self._board.set_members(
             routable.service, (upstream.address for upstream in routable.upstreams)
@@ -145,12 +160,13 @@
                 groups[2].append(upstream)
             else:
                 groups[0 if upstream.zone == self._place.zone else 1].append(upstream)
+        connections: dict[str, int] = {}
         tiers = tuple(
-            self._tier(group, index, routable.service) if group else None
+            self._tier(group, index, routable.service, connections) if group else None
             for index, group in enumerate(groups)
         )
         means = self._board.means(routable.service)
-        return _Plan(routable.generation, self._nodes_generation, tiers, means)
+        return _Plan(routable.generation, self._nodes_generation, tiers, connections, means)
 
     def _rank(self, index: int) -> tuple[int, int] | None:
         region, zone = self._place.region, self._place.zone
@@ -162,20 +178,29 @@
         rank = node_rank(nodes, self._place.node)
         return None if rank is None else (rank, len(nodes))
 
-    def _tier(self, group: list[RoutableUpstream], index: int, service: str) -> _Tier:
+    def _tier(
+        self,
+        group: list[RoutableUpstream],
+        index: int,
+        service: str,
+        connections: dict[str, int],
+    ) -> _Tier:
+        """Returns the part of a group that this node uses and adds its connections."""
         addresses = tuple(upstream.address for upstream in group)
+        limit = self._instance_connections
         place = self._ranks[index]
         if place is not None:
             rank, nodes = place
-            connections = int(self._instance_connections * _CONNECTION_SHARES[index])
-            size = subset_size(nodes, len(group), connections)
+            share = int(self._instance_connections * _CONNECTION_SHARES[index])
+            size = subset_size(nodes, len(group), share)
+            limit = connection_limit(nodes, len(group), size, share)
             addresses = choose_subset(addresses, rank, nodes, size, service)
-        used = set(addresses)
+        connections.update(dict.fromkeys(addresses, limit))
         return _Tier(
             [
                 _Candidate(upstream, self._board.record(upstream.address))
                 for upstream in group
-                if upstream.address in used
+                if upstream.address in connections
             ]
         )
 
