Forget the load of upstreams that a node does not know

Change: such digests are ignored, and the last end of a request drops the record. Conclusion: records are bounded by the upstreams of the services of a node.

--- a/anviltray/decisions/routing/_board.py
+++ b/anviltray/decisions/routing/_board.py
@@ -108,7 +108,11 @@
         """Ends a request; `reported_load` is the share of slots in use from the response."""
         record = self.record(address)
         record.outstanding = max(0, record.outstanding - 1)
-        means = self.means(self._service_of.get(address, ""))
+        if address not in self._service_of:
+            if record.outstanding == 0:
+                del self._records[address]
+            return
+        means = self.means(self._service_of[address])
         if reported_load is not None and reported_load >= 0:
             record.reported = reported_load
             record.reported_s = now_s
@@ -136,10 +140,14 @@
         ):
             return
         self._remove_peer(key)
+        # Upstreams that this node does not know would leave records that nothing removes.
+        known_upstreams = tuple(
+            upstream for upstream in message.upstreams if upstream.address in self._service_of
+        )
         self._peers[key] = _PeerDigest(
-            message.incarnation, message.sequence, now_s, message.upstreams
+            message.incarnation, message.sequence, now_s, known_upstreams
         )
-        for upstream in message.upstreams:
+        for upstream in known_upstreams:
             self.record(upstream.address).peer_outstanding += upstream.outstanding
 
     def digest(self, now_s: float, service: str) -> LoadDigest:
--- a/anviltray/decisions/routing/tests/test_board.py
+++ b/anviltray/decisions/routing/tests/test_board.py
@@ -60,5 +60,6 @@
     board.set_members("s", [])
     assert board.record("u") is record
     board.ended(0.0, "u", 0.02, None)
+    board.peer_load(0.0, digest(3))
     assert record.outstanding == 0
-    assert board.digest(0.0, "s").upstreams == ()
+    assert board._records == {}
