Split the exchange and limit the forwarding of evidence

Change: MemberSync takes failure detection and the spread of membership; evidence of other nodes goes on to 6 peers, while a node's own evidence and all other messages go to every peer. Ruled out: a fan-out for ejections, leaving upstreams and queries, which no later message replaces.

--- a/anviltray/state/exchange/_exchange.py
+++ b/anviltray/state/exchange/_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 import logbook
@@ -40,7 +40,6 @@
     CLOSE_TIMEOUT_S,
     OPEN_TIMEOUT_S,
     PEER_PATH,
-    PROBE_PATH,
     Backoff,
     ConnectFailed,
     open_connection,
@@ -53,13 +52,11 @@
     make_hello,
 )
 from anviltray.state.exchange._link import MAX_MESSAGE_BYTES, Link
+from anviltray.state.exchange._member_sync import MemberSync
 from anviltray.state.exchange._queries import Queries, QueryHandler, QueryResult
-from anviltray.state.exchange._queue import BULK
 from anviltray.state.membership import (
     Location,
     Membership,
-    Merge,
-    Probe,
     rendezvous_rank,
     select_peers,
 )
@@ -68,13 +65,13 @@
 _Message = TypeVar("_Message")
 
 _BURST_S = 2.0  # Seconds of the byte budget that may be sent at once.
-_PING_EVERY = 2  # Each opened connection is probed once in so many probe intervals.
-# A connection without any received byte for this many probe periods is replaced by a new one.
-_SILENT_PERIODS = 3
 _ANNOUNCE_INTERVAL_S = 2.0  # Configuration anti-entropy with one peer.
 _DIGEST_INTERVAL_S = 10.0  # Membership anti-entropy with one peer; a digest takes about 600 bytes.
 _STRANGER_INTERVAL_S = 10.0  # Probe of a node without a connection, so none stays unobserved.
-_MEMBERS_CHUNK = 32  # Members in one message, about 4 KB.
+# Evidence of other nodes is passed on to so many peers. About 0.25 % of the nodes miss a message,
+# and the next one of the same node replaces it; all 16 peers would take the byte budget of 48 nodes
+# that report the same upstream.
+_FANOUT = 6
 _INBOUND_PER_PEER = 4  # Accepted connections as a multiple of the opened ones.
 
 
@@ -94,23 +91,13 @@
         key: bytes,
         rng: random.Random,
     ) -> None:
-        own = Member(
-            settings.node,
-            rng.getrandbits(63),
-            0,
-            "alive",
-            settings.region,
-            settings.zone,
-            settings.caller_address,
-            settings.peer_address,
-        )
         self._settings = settings.exchange
         self._location = Location(settings.region, settings.zone)
         self._store = store
         self._key = key
         self._rng = rng
         self.counters: Counter[str] = Counter()
-        self.membership = Membership(own, settings.exchange, rng)
+        self.membership = Membership(_own_member(settings, rng), settings.exchange, rng)
         self._hosts: tuple[HostEntry, ...] = ()
         self._links: dict[str, Link] = {}
         self._connecting: set[str] = set()
@@ -120,6 +107,19 @@
         self._config = ConfigSync(
             store, settings.region, lambda: tuple(self._links.values()), self._region_rank
         )
+        self._members = MemberSync(
+            self.membership,
+            settings.exchange,
+            rng,
+            self.counters,
+            self._links,
+            hello=self._hello,
+            key=key,
+            drop=self._drop,
+            forward=self._forward,
+            spawn=self._spawn,
+            changed=self._member_changed,
+        )
         self._queries = Queries(settings.node, lambda _: (), self._flood_own, self._send_to)
         self._handlers: dict[type[Any], list[Callable[[float, Any], None]]] = {}
         self._member_listeners: list[Callable[[Member], None]] = []
@@ -129,17 +129,7 @@
         self._server: Server | None = None
         self._wake = asyncio.Event()
         self._stopping = False
-        self._internal: dict[type[Message], Callable[[Link, Any], None]] = {
-            Ping: self._on_ping,
-            PingAnswer: self._on_ping_answer,
-            Members: self._on_members,
-            MembersDigest: self._on_members_digest,
-            ConfigAnnounce: self._config.on_announce,
-            ConfigRequest: self._config.on_request,
-            ConfigRecords: self._config.on_records,
-            ConfigSnapshot: self._config.on_snapshot,
-            QueryAnswer: lambda _, message: self._queries.on_answer(message),
-        }
+        self._internal = self._internal_handlers()
 
     @property
     def peers(self) -> tuple[str, ...]:
@@ -198,7 +188,7 @@
             max_size=MAX_MESSAGE_BYTES,
             server_header=None,
         )
-        for task in (self._connect_peers(), self._detect_failures(), self._repair()):
+        for task in (self._connect_peers(), self._members.detect_failures(), self._repair()):
             self._spawn(task)
 
     async def stop(self) -> None:
@@ -276,7 +266,7 @@
         except ConnectFailed:
             self.counters["connect_failures"] += 1
             self._backoff.failed(self._now_s(), address)
-            self._suspect_address(address)
+            self._members.address_failed(address)
         else:
             self._accepted(address)
             self._backoff.succeeded(address)
@@ -351,18 +341,23 @@
         return True
 
     def _link_up(self, link: Link) -> None:
-        self.membership.reached(link.peer.node)
-        self._merge(link, self.membership.merge(self._now_s(), (link.peer,)))
+        self._members.link_up(link)
         self._config.link_up(link)
-        self._send_digest(link)
         self._wake.set()
 
     def _link_down(self, link: Link) -> None:
         self._config.link_down(link)
         if not self._stopping and not link.closed_in_order:
-            self.membership.lost(self._now_s(), link.peer.node)
+            self._members.link_lost(link)
         self._wake.set()
 
+    def _drop(self, link: Link, code: int) -> None:
+        """Closes a connection and removes it without waiting for the other side."""
+        link.close(code)
+        if self._links.get(link.peer.node) is link:
+            del self._links[link.peer.node]
+            self._link_down(link)
+
     def _hello(self) -> Hello:
         return make_hello(self.membership.own, SCHEMA_VERSION, self._store.version)
 
@@ -379,6 +374,19 @@
 
     # Messages
 
+    def _internal_handlers(self) -> dict[type[Message], Callable[[Link, Any], None]]:
+        return {
+            Ping: self._members.on_ping,
+            PingAnswer: self._members.on_ping_answer,
+            Members: self._members.on_members,
+            MembersDigest: self._members.on_digest,
+            ConfigAnnounce: self._config.on_announce,
+            ConfigRequest: self._config.on_request,
+            ConfigRecords: self._config.on_records,
+            ConfigSnapshot: self._config.on_snapshot,
+            QueryAnswer: lambda _, message: self._queries.on_answer(message),
+        }
+
     def _deliver(self, link: Link, message: Message) -> None:
         internal = self._internal.get(type(message))
         if internal is not None:
@@ -410,12 +418,14 @@
             _log.exception("handler of {} failed", type(message).__name__)
 
     def _forward(self, message: Message, source: Link | None) -> None:
-        """Queues a message for every peer but its source."""
-        within_zone = isinstance(message, Counters)
-        for link in tuple(self._links.values()):
-            near = (link.peer.region, link.peer.zone) == self._location
-            if link is not source and (near or not within_zone):
-                link.send(message)
+        """Queues a message for every peer but its source, or for some of them."""
+        links = [link for link in self._links.values() if link is not source]
+        if isinstance(message, Counters):
+            links = [link for link in links if (link.peer.region, link.peer.zone) == self._location]
+        elif isinstance(message, Evidence) and source is not None and len(links) > _FANOUT:
+            links = self._rng.sample(links, _FANOUT)
+        for link in links:
+            link.send(message)
 
     def _flood_own(self, query: Query) -> None:
         self.send(query)
@@ -425,108 +435,9 @@
         if link is not None:
             link.send(answer)
 
-    # Membership
-
-    async def _detect_failures(self) -> None:
-        """Probes the opened connections in turn and closes silent ones."""
-        tick_s = min(self._settings.ping_timeout_s, self._settings.ping_interval_s) / 2
-        period_s = self._settings.ping_interval_s * _PING_EVERY
-        while True:
-            await asyncio.sleep(tick_s)
-            now_s = self._now_s()
-            for link in tuple(self._links.values()):
-                if now_s - link.heard_s > _SILENT_PERIODS * period_s:
-                    self.counters["silent_connections"] += 1
-                    link.close(CloseCode.TRY_AGAIN_LATER)
-                    if self._links.get(link.peer.node) is link:
-                        del self._links[link.peer.node]
-                        self._link_down(link)
-                elif link.opened_here and now_s - link.pinged_s >= period_s:
-                    link.pinged_s = now_s
-                    link.send(self.membership.probe(now_s, link.peer.node).ping)
-            step = self.membership.step(now_s, tuple(self._links))
-            self._send_probes(step.probes)
-            self._changed(step.changed, None)
-
-    def _send_probes(self, probes: Iterable[Probe]) -> None:
-        for probe in probes:
-            link = self._links.get(probe.to)
-            if link is not None:
-                link.send(probe.ping)
-
-    def _suspect_address(self, address: str) -> None:
-        """Starts a probe through relays of the node at an address that cannot be reached."""
-        for member in self.membership.usable():
-            if member.peer_address == address and member.node not in self._links:
-                self.membership.lost(self._now_s(), member.node)
-
-    def _on_ping(self, link: Link, ping: Ping) -> None:
-        if ping.target == self.membership.own.node:
-            link.send(PingAnswer(ping.sequence, ping.target, True))
-        else:
-            self._spawn(self._probe_for(link, ping))
-
-    async def _probe_for(self, link: Link, ping: Ping) -> None:
-        reached = await self._reach(ping.target)
-        link.send(PingAnswer(ping.sequence, ping.target, reached))
-
-    async def _reach(self, node: str) -> bool:
-        """Tells whether a new connection to a node can be opened.
-
-        An existing connection proves less: it may be silent while the node is well, or appear open
-        after the node died.
-        """
-        member = self.membership.members.get(node)
-        if member is None:
-            return False
-        try:
-            socket, other = await open_connection(
-                member.peer_address, PROBE_PATH, self._hello(), self._key
-            )
-        except (ConnectFailed, HandshakeError):
-            return False
-        await socket.close()
-        if other.member.node != node:
-            return False
-        self._changed(self.membership.merge(self._now_s(), (other.member,)).changed, None)
-        return True
-
-    def _on_ping_answer(self, link: Link, answer: PingAnswer) -> None:
-        self.membership.answered(answer.sequence, answer.reached)
-
-    def _on_members(self, link: Link, message: Members) -> None:
-        self._merge(link, self.membership.merge(self._now_s(), message.members))
-
-    def _on_members_digest(self, link: Link, digest: MembersDigest) -> None:
-        if digest == self.membership.digest():
-            return
-        differing = self.membership.differing(digest)
-        for start in range(0, len(differing), _MEMBERS_CHUNK):
-            link.send(Members(differing[start : start + _MEMBERS_CHUNK]), BULK)
-        self._send_digest(link)
-
-    def _send_digest(self, link: Link) -> None:
-        """Sends the digest, at most once per probe interval so that two nodes do not loop."""
-        now_s = self._now_s()
-        if now_s - link.digest_sent_s >= self._settings.ping_interval_s:
-            link.digest_sent_s = now_s
-            link.send(self.membership.digest())
-
-    def _merge(self, link: Link, merge: Merge) -> None:
-        if merge.corrections:
-            link.send(Members(merge.corrections))
-        self._changed(merge.changed, link)
-
-    def _changed(self, changed: tuple[Member, ...], source: Link | None) -> None:
-        """Passes changed members on and tells the listeners."""
-        if not changed:
-            return
-        self.counters["member_changes"] += len(changed)
-        for start in range(0, len(changed), _MEMBERS_CHUNK):
-            self._forward(Members(changed[start : start + _MEMBERS_CHUNK]), source)
-        for member in changed:
-            for listener in self._member_listeners:
-                listener(member)
+    def _member_changed(self, member: Member) -> None:
+        for listener in self._member_listeners:
+            listener(member)
         self._wake.set()
 
     async def _repair(self) -> None:
@@ -540,23 +451,12 @@
                 self._config.announce_to(self._rng.choice(tuple(self._links.values())))
             if self._links and now_s >= next_digest_s:
                 next_digest_s = now_s + _DIGEST_INTERVAL_S
-                self._send_digest(self._rng.choice(tuple(self._links.values())))
+                self._members.send_digest(self._rng.choice(tuple(self._links.values())))
             if now_s >= next_stranger_s:
                 next_stranger_s = now_s + _STRANGER_INTERVAL_S
-                await self._probe_stranger()
+                await self._members.probe_stranger()
                 self._try_seed()
 
-    async def _probe_stranger(self) -> None:
-        strangers = [
-            member.node
-            for member in self.membership.usable()
-            if member.node not in self._links and member.node != self.membership.own.node
-        ]
-        if strangers:
-            node = self._rng.choice(strangers)
-            if not await self._reach(node):
-                self.membership.lost(self._now_s(), node)
-
     def _try_seed(self) -> None:
         """Connects to a seed that is no member, as after a partition that outlived the memory."""
         now_s = self._now_s()
@@ -588,3 +488,17 @@
     @staticmethod
     def _now_s() -> float:
         return asyncio.get_running_loop().time()
+
+
+def _own_member(settings: Settings, rng: random.Random) -> Member:
+    """Returns this node with a new incarnation."""
+    return Member(
+        settings.node,
+        rng.getrandbits(63),
+        0,
+        "alive",
+        settings.region,
+        settings.zone,
+        settings.caller_address,
+        settings.peer_address,
+    )
--- a/anviltray/state/exchange/tests/test_failures.py
+++ b/anviltray/state/exchange/tests/test_failures.py
@@ -14,6 +14,7 @@
 from anviltray.platform import HostEntry, MemoryPlatform
 from anviltray.state.configuration import STREAM, ConfigurationStore
 from anviltray.state.exchange import _exchange as exchange_module
+from anviltray.state.exchange import _member_sync as member_sync_module
 from anviltray.state.exchange._connector import ConnectFailed
 from anviltray.state.tests.fleet import StateNode, running, until
 from anviltray.state.tests.services import make_service, put
@@ -33,7 +34,8 @@
             raise ConnectFailed(address)
         return await original(address, path, hello, key)
 
-    monkeypatch.setattr(exchange_module, "open_connection", guarded)
+    for module in (exchange_module, member_sync_module):
+        monkeypatch.setattr(module, "open_connection", guarded)
     return pairs
 
 
