--- a/anviltray/decisions/detection/_consecutive_errors.py
+++ b/anviltray/decisions/detection/_consecutive_errors.py
@@ -21,7 +21,7 @@
 
 @detectors.register("consecutive_errors")
 class ConsecutiveErrorsDetector:
-    """Takes out an upstream for 30 s after 5 errors in a row, at a sweep every 10 s.
+    """Takes out an upstream for 30 s if it had 5 errors in a row since the last sweep (10 s).
 
     At most 10 % of the upstreams, but always one, are out at a time. An upstream that is out has
     an infinite ratio; nothing is exchanged with other nodes.
@@ -30,6 +30,7 @@
     def __init__(self, sensitivity: Sensitivity) -> None:
         self._errors: dict[str, int] = {}
         self._until_s: dict[str, float] = {}
+        self._due: set[str] = set()
         self._exchanges: dict[int, str] = {}
         self._swept_s: float | None = None
 
@@ -51,6 +52,8 @@
         if address in self._errors:
             if outcome in _FAILURES:
                 self._errors[address] += 1
+                if self._errors[address] >= _ERRORS:
+                    self._due.add(address)
             elif outcome is ExchangeOutcome.OK:
                 self._errors[address] = 0
 
@@ -60,8 +63,10 @@
     def reset(self, now_s: float, address: str) -> None:
         if address in self._errors:
             self._errors[address] = 0
+            self._due.discard(address)
 
     def discard(self, now_s: float) -> None:
+        self._due.clear()
         self._errors = dict.fromkeys(self._errors, 0)
 
     def survey(self, now_s: float) -> dict[str, Reading]:
@@ -73,10 +78,11 @@
         if now_s - self._swept_s >= _SWEEP_S:
             self._swept_s = now_s
             limit = max(1, int(len(self._errors) * _SHARE))
-            for address, errors in self._errors.items():
-                if errors >= _ERRORS and len(self._until_s) < limit:
+            for address in sorted(self._due & self._errors.keys()):
+                if len(self._until_s) < limit:
                     self._until_s[address] = now_s + _EJECTION_S
                     self._errors[address] = 0
+            self._due.clear()
         return {a: Reading(float("inf"), _ERRORS, True, 0, 0.0) for a in self._until_s}
 
     def describe(self, now_s: float, address: str) -> dict[str, object]:
--- a/anviltray/decisions/detection/_likelihood.py
+++ b/anviltray/decisions/detection/_likelihood.py
@@ -237,10 +237,15 @@
         readings: dict[str, Reading] = {}
         suspects = 0
         for address, watch in list(self._touched.items()):
-            watch.failures *= factor
-            watch.latencies *= factor
-            flying, count = self._in_flight(now_s, watch)
-            ratio = min(max(watch.failures, watch.latencies + flying), _RATIO_LIMIT)
+            flying, count = 0.0, 0
+            if watch.waiting or watch.streaming:
+                flying, count = self._in_flight(now_s, watch)
+            ratio = flying
+            if watch.failures or watch.latencies:
+                watch.failures *= factor
+                watch.latencies *= factor
+                ratio = max(watch.failures, watch.latencies + flying)
+            ratio = min(ratio, _RATIO_LIMIT)
             if ratio < 0.05:
                 watch.samples = 0
                 if not watch.waiting and not watch.streaming:
--- a/anviltray/decisions/ejection/_board.py
+++ b/anviltray/decisions/ejection/_board.py
@@ -208,7 +208,9 @@
         for name, state in states.items():
             readings = state.detector.survey(now_s)
             state.readings.update(readings)
-            surveys[name] = {a: r for a, r in readings.items() if not state.members[a].suspected}
+            if state.busy:
+                readings = {a: r for a, r in readings.items() if not state.members[a].suspected}
+            surveys[name] = readings
         self._suspended, ended = self._own_side.observe(now_s, surveys)
         for name in ended & self._services.keys():
             self._services[name].detector.discard(now_s)
--- a/measure/_fleet.py
+++ b/measure/_fleet.py
@@ -65,6 +65,7 @@
         behaviour: Behaviour,
         seed: int,
         detector: str = "likelihood_ratio",
+        stagger_s: float = FLUSH_S,
     ) -> None:
         self.rng = Random(seed)
         self.now_s = 0.0
@@ -92,7 +93,7 @@
         for node, board in enumerate(self.boards):
             board.configure({SERVICE: service}, 0.0)
             board.probe_targets(0.0, [f"n{i}" for i in range(nodes)])
-            self.at(self.rng.random() * FLUSH_S, self._update, node)
+            self.at(self.rng.random() * stagger_s, self._update, node)
             self.at(self.rng.expovariate(rate), self._arrive, node)
 
     def at(self, time_s: float, action: Callable[..., None], *arguments: object) -> None:
