Prove at most once and truthful not-run with processes and sockets

The invariants had tests of single objects only; nothing showed them across processes under kill, pause, cuts and silence.

The phase in which a draining upstream runs requests and answers 503 failed: a 503 with the drain header alone counted as a refusal, so such requests were told not-run and ran up to three times. A draining upstream marks every response, so the header proves nothing. Only the shed header is a refusal now; the focused row of the signals table asserted the wrong reading and is replaced by two. The cancel endpoint of the upstream stand-in had another dialect than the client, so that no cancellation was ever confirmed; it now reads the identifier header and answers with the outcome. The launcher sent commands without identifier and operator, which the endpoint refuses.

Connections to upstreams come from the caller address of the node, so that a relay can cut one node.

--- a/anviltray/node/_context.py
+++ b/anviltray/node/_context.py
@@ -51,7 +51,9 @@
         self.metrics = metrics
         self.exchange = exchange
         self.store = store
-        self.upstreams = UpstreamClient(settings.upstreams)
+        self.upstreams = UpstreamClient(
+            settings.upstreams, settings.caller_address.rpartition(":")[0]
+        )
         self.board = EjectionBoard(
             settings.node,
             settings.region,
--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -138,15 +138,20 @@
 class UpstreamClient:
     """Client for all upstreams of a node; it must be created in the event loop.
 
+    Connections come from `source_ip` if it is given, so that upstreams see the address of the node
+    also on a host with several addresses.
+
     Example: `response = await client.send("10.0.0.1:80", UpstreamRequest("GET", "/a", ()))`, then
     `await response.read_chunk()` until it is empty, and `response.close()` in any case.
     """
 
-    def __init__(self, settings: UpstreamSettings) -> None:
+    def __init__(self, settings: UpstreamSettings, source_ip: str = "") -> None:
         self._settings = settings
         self._loop = asyncio.get_running_loop()
         self.dialect = Dialect(settings)
-        self._connector = UpstreamConnector(settings.idle_limit_s, settings.instance_connections)
+        self._connector = UpstreamConnector(
+            settings.idle_limit_s, settings.instance_connections, source_ip
+        )
         self._session = ClientSession(
             connector=self._connector, cookie_jar=DummyCookieJar(), auto_decompress=False
         )
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -33,7 +33,9 @@
     connection or a late response is found before a byte of the next request is written.
     """
 
-    def __init__(self, idle_limit_s: float, connections_per_instance: int) -> None:
+    def __init__(
+        self, idle_limit_s: float, connections_per_instance: int, source_ip: str = ""
+    ) -> None:
         # aiohttp uses the keep-alive time only as the pause between two clean-ups here.
         super().__init__(
             limit=0,
@@ -41,6 +43,7 @@
             enable_cleanup_closed=False,
             use_dns_cache=False,
             keepalive_timeout=idle_limit_s / 4,
+            local_addr=(source_ip, 0) if source_ip else None,
         )
         self._factory = functools.partial(_ResponseHandler, loop=self._loop)  # type: ignore[assignment]
         self._idle_limit_s = idle_limit_s
--- a/anviltray/upstreams/_dialect.py
+++ b/anviltray/upstreams/_dialect.py
@@ -56,8 +56,8 @@
     def signals(self, status: int, found: Iterable[tuple[bytes, bytes]]) -> Signals:
         """Returns the signals of a response from those of its headers in `signal_headers`.
 
-        Only a 503 with a shed or drain header is a refusal: any other status may come from a
-        request that ran.
+        Only a 503 with the shed header is a refusal. A draining upstream marks every response, so
+        that a 503 with the drain header alone may come from a request that ran.
         """
         shed = draining = cold = False
         load: float | None = None
@@ -72,7 +72,7 @@
                 draining = True
             else:
                 cold = True
-        return Signals(status == 503 and (shed or draining), draining, cold, load)
+        return Signals(status == 503 and shed, draining, cold, load)
 
     def confirms_not_started(self, status: int, body: bytes) -> bool:
         """Tells whether a cancel answer proves that the request was not and will not be run.
--- a/anviltray/upstreams/tests/test_client.py
+++ b/anviltray/upstreams/tests/test_client.py
@@ -237,7 +237,8 @@
     ("status", "headers", "expected"),
     [
         (503, "X-Shed: 1", (True, False, False, None)),
-        (503, "X-Draining: 1", (True, True, False, None)),
+        (503, "X-Draining: 1", (False, True, False, None)),
+        (503, "X-Draining: 1\r\nX-Shed: 1", (True, True, False, None)),
         (503, "X-Shed: 0", (False, False, False, None)),
         (503, "X-Load: 0.5", (False, False, False, 0.5)),
         (500, "X-Shed: 1", (False, False, False, None)),
--- a/standins/fleet/_fleet.py
+++ b/standins/fleet/_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import secrets
 import tempfile
 import time
 from collections import Counter
@@ -36,11 +37,11 @@
 class NodeHandle:
     """One node process."""
 
-    def __init__(self, settings: Settings, path: Path, directory: Path) -> None:
+    def __init__(self, settings: Settings, path: Path, directory: Path, module: str) -> None:
         self.name = settings.node
         self.settings = settings
         self.platform_relay: Relay | None = None
-        self.process = ManagedProcess(self.name, "anviltray.node", [path], directory)
+        self.process = ManagedProcess(self.name, module, [path], directory)
 
     @property
     def address(self) -> str:
@@ -175,7 +176,7 @@
             document[section] = {**document.get(section, {}), **values}
         path = self.directory / f"{planned.name}.yaml"
         path.write_text(yaml.safe_dump(document), encoding="utf-8")
-        handle = NodeHandle(load_settings(path), path, self.directory)
+        handle = NodeHandle(load_settings(path), path, self.directory, self.plan.node_module)
         handle.platform_relay = relay
         self.nodes[planned.name] = handle
         self._cleanup.callback(handle.process.kill)
@@ -260,7 +261,13 @@
 
     async def command(self, node: NodeHandle, text: str, deadline_s: float = 5.0) -> dict[str, Any]:
         """Returns the answer of a node to a command of the operator language."""
-        return await self._operate(node, "command", {"text": text, "deadline_s": deadline_s})
+        data: dict[str, Any] = {
+            "command_id": secrets.token_hex(8),
+            "operator": "fleet",
+            "reason": "test",
+        }
+        data |= {"text": text, "deadline_s": deadline_s}
+        return await self._operate(node, "command", data)
 
     async def _operate(self, node: NodeHandle, kind: str, data: dict[str, Any]) -> dict[str, Any]:
         url = f"http://{node.settings.operator_address}/v1/{kind}"
--- a/standins/fleet/_plan.py
+++ b/standins/fleet/_plan.py
@@ -43,6 +43,7 @@
     services: tuple[ServicePlan, ...]  # Services.
     settings: Mapping[str, Any] = _EMPTY  # Optional sections of the settings of all nodes.
     host_list_lag_s: float = 1.0  # Lag of the host list.
+    node_module: str = "anviltray.node"  # Python module that runs a node with its settings file.
 
 
 # Short enough for tests to wait for; the defaults are for a fleet that runs for years.
--- /dev/null
+++ b/standins/tests/seeded_node.py
@@ -0,0 +1,150 @@
+"""A node without one of its guards: `python -m standins.tests.seeded_node SETTINGS`.
+
+`SEEDED_FAULT` names the guard that is removed. The tests of the invariants must fail on it.
+"""
+
+import contextlib
+import os
+from collections import deque
+from collections.abc import Callable
+from time import monotonic
+
+from anviltray.callers import _exchange, _runner
+from anviltray.decisions.attempts import Forward, Start, _table
+from anviltray.decisions.draining import LeavingSet
+from anviltray.decisions.ejection import _service
+from anviltray.node import Node, main
+from anviltray.platform import PlatformError
+from anviltray.state import CommandOutcome, CommandPublisher, LogFollower
+from anviltray.state.configuration import ConfigurationStore, encode_record
+from anviltray.upstreams import _client, _connector
+
+SEEDED_FAULTS: dict[str, Callable[[], None]] = {}
+
+
+def seeded_fault(function):
+    SEEDED_FAULTS[function.__name__] = function
+    return function
+
+
+@seeded_fault
+def forget_attempts():
+    """A duplicate starts again."""
+    arrive = _table.AttemptTable.arrive
+
+    def forgetful(self, now_s, request_id):
+        entry = self._entries.get(request_id)
+        if entry is not None and entry.outcome is not None:
+            del self._entries[request_id]
+            self._by_epoch[entry.epoch].remove(request_id)
+        return arrive(self, now_s, request_id)
+
+    _table.AttemptTable.arrive = forgetful
+
+
+@seeded_fault
+def start_elsewhere():
+    """A node starts identifiers of other nodes instead of forwarding them."""
+    arrive = _table.AttemptTable.arrive
+
+    def local(self, now_s, request_id):
+        verdict = arrive(self, now_s, request_id)
+        if isinstance(verdict, Forward) and request_id not in self._entries:
+            self._start(now_s, request_id)
+            return Start(request_id)
+        return verdict
+
+    _table.AttemptTable.arrive = local
+
+
+@seeded_fault
+def assume_not_run():
+    """A failed exchange counts as proof that the request was not run."""
+
+    async def nothing(self, call, attempt):
+        return None
+
+    _runner.Runner._prove_not_run = nothing
+
+
+@seeded_fault
+def accept_before_read_back():
+    """A command is accepted without reading it back."""
+
+    async def submit(self, command, timeout_s):
+        with contextlib.suppress(PlatformError):
+            await self._platform.append("configuration", encode_record(command))
+        return CommandOutcome("accepted", command.command_id, self._store.version + 1, "")
+
+    CommandPublisher.submit = submit
+
+
+@seeded_fault
+def fold_again():
+    """Each read of the log starts from an empty configuration."""
+    read = LogFollower._read_once
+
+    async def reread(self):
+        self._store.fold.clear()
+        return await read(self)
+
+    LogFollower._read_once = reread
+
+
+@seeded_fault
+def ready_without_configuration():
+    """A node is ready whatever its version."""
+    ConfigurationStore.ready_reason = lambda self: None
+
+
+@seeded_fault
+def end_cut_responses():
+    """A response that was cut short is ended as if it were whole."""
+    _exchange.CallerExchange.abort = lambda self: self.transport.close()
+
+
+@seeded_fault
+def reuse_abandoned_connections():
+    """A connection with an abandoned exchange returns to the pool."""
+    _connector._is_reusable = lambda protocol: protocol.transport is not None
+    close = _client.Connection.close
+
+    def keep(self):
+        protocol = self._protocol
+        if protocol is None or not protocol.is_connected():
+            close(self)
+            return
+        self._connector._conns.setdefault(self._key, deque()).append((protocol, monotonic()))
+        self._connector._acquired.discard(protocol)
+        self._protocol = None
+
+    _client.Connection.close = keep
+
+
+@seeded_fault
+def exit_at_once():
+    """A graceful shutdown ends all tasks at once."""
+
+    async def stop(self):
+        os._exit(0)
+
+    Node.stop = stop
+
+
+@seeded_fault
+def ignore_leaving():
+    """Leaving upstreams stay in use."""
+    LeavingSet.addresses = property(lambda self: frozenset())
+
+
+@seeded_fault
+def no_floor():
+    """All suspected upstreams are removed."""
+    _service.select = lambda candidates, floor, heard=(): frozenset(
+        candidate.address for candidate in candidates if candidate.suspicion
+    )
+
+
+if __name__ == "__main__":
+    SEEDED_FAULTS[os.environ["SEEDED_FAULT"]]()
+    main()
--- a/standins/tests/test_upstream.py
+++ b/standins/tests/test_upstream.py
@@ -52,7 +52,8 @@
         return (await self.call("GET", f"{self.control_base}/executions"))[1]["executions"]
 
     async def cancel(self, request_id):
-        return await self.call("POST", f"{self.base}/cancel?id={request_id}")
+        headers = {"X-Request-Id": request_id}
+        return await self.call("POST", f"{self.base}/cancel", headers=headers)
 
 
 def test_echo_tells_whose_answer_it_is():
@@ -215,12 +216,12 @@
         await poll_until(lambda: "running" in standin.engine.executions, 5)
         queued = asyncio.create_task(client.send("queued"))
         await poll_until(lambda: standin.engine.queued == 1, 5)
-        assert await client.cancel("queued") == (200, {"id": "queued", "started": False})
-        assert await client.cancel("running") == (200, {"id": "running", "started": True})
-        assert await client.cancel("other") == (404, {"id": "other", "started": None})
+        assert await client.cancel("queued") == (200, {"id": "queued", "outcome": "not-started"})
+        assert await client.cancel("running") == (200, {"id": "running", "outcome": "started"})
+        assert await client.cancel("other") == (404, {"id": "other", "outcome": "unknown"})
         assert (await queued)[1]["X-Shed"] == "1"
         assert (await running)[0] == 500
-        assert await client.cancel("running") == (200, {"id": "running", "started": True})
+        assert await client.cancel("running") == (200, {"id": "running", "outcome": "started"})
         assert await client.executions() == {"running": 1}
 
     run(scenario, QUICK._replace(slots=1, median_s=5.0))
--- a/standins/upstream/_application.py
+++ b/standins/upstream/_application.py
@@ -243,11 +243,12 @@
 class _Cancel(_Resource):
     async def on_post(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         await poll_until(lambda: not self._engine.faults.cancel_hangs)
-        request_id = request.get_param("id", required=True)
+        request_id = request.get_header("X-Request-Id") or request.get_param("id", required=True)
         started = self._engine.cancel(request_id)
         # No statement about an unknown request: it may still arrive, or have run before a restart.
         response.status = falcon.HTTP_404 if started is None else falcon.HTTP_200
-        response.media = {"id": request_id, "started": started}
+        outcome = {None: "unknown", True: "started", False: "not-started"}[started]
+        response.media = {"id": request_id, "outcome": outcome}
 
 
 class _ControlFaults(_Resource):
