--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -7,7 +7,7 @@
 import time
 from pathlib import Path
 
-from measure import request_path  # noqa: F401  (registers)
+from measure import _policies, request_path  # noqa: F401  (register)
 from measure._registry import measurements
 from measure._rows import TARGETS, Row
 
