Cross to other regions at a load of 97 %

Cause: at 90 % load 20 % of the attempts crossed the billed link although the own region could serve them.

--- a/anviltray/decisions/routing/_two_choices.py
+++ b/anviltray/decisions/routing/_two_choices.py
@@ -28,8 +28,10 @@
 # Load from which the next tier of the own region is considered. Leaving the zone costs little, so
 # it happens before the zone is full.
 _ZONE_FULL = 0.8
-# Load from which the own region counts as unable to take more; other regions cost money.
-_REGION_FULL = 0.95
+# Load from which the own region counts as unable to take more. Other regions cost money: at 0.95
+# and 90 % load 20 % of the attempts crossed, at 0.97 7 %; at 0.99 a real shortage lost 6 % of the
+# requests before they crossed.
+_REGION_FULL = 0.97
 # Weight of one sample in the smoothed load of a tier, and the time after which a sample counts in
 # full. A single sample exceeds the limits above by chance at a load of 70 %.
 _USE_WEIGHT = 0.02
