Tell unknown for identifiers that were refused without the attempt table

Cause: a node that is not ready, has no route or cannot read a header answered not-run also for a request with an identifier that had run through another node. Found by reading; ruled out for refusals after the attempt table, which records them. Change: before the service is known, the attempt table decides; with an unreadable head and an identifier the outcome is unknown.

--- a/anviltray/callers/_dispatcher.py
+++ b/anviltray/callers/_dispatcher.py
@@ -8,10 +8,10 @@
 
 from anviltray.callers._body import RequestBody
 from anviltray.callers._call import Call
-from anviltray.callers._context import Admission, CallerContext
+from anviltray.callers._context import Admission, CallerContext, Outcome
 from anviltray.callers._exchange import CallerExchange
 from anviltray.callers._forward import forward
-from anviltray.callers._head import HeadReader, RequestHead
+from anviltray.callers._head import REQUEST_ID_HEADER, HeadReader, RequestHead
 from anviltray.callers._problems import InputError, Problem
 from anviltray.callers._relay import add_length
 from anviltray.callers._runner import Runner
@@ -52,7 +52,11 @@
             return self._reader.read(exchange.scope)
         except InputError as error:
             self._context.count("refused.head")
-            exchange.respond_problem(error.problem)
+            problem = error.problem
+            if any(name == REQUEST_ID_HEADER for name, _ in exchange.scope["headers"]):
+                # The identifier was not checked, so an earlier arrival may have run.
+                problem = problem._replace(outcome="unknown")
+            exchange.respond_problem(problem)
             return None
 
     async def handle(self, exchange: CallerExchange, head: RequestHead) -> None:
@@ -61,6 +65,7 @@
         service = context.route(head.host, head.path)
         if service is None:
             problem = _NOT_READY if context.not_ready() else _NO_ROUTE
+            problem = problem._replace(outcome=self._refuse_identifier(head.request_id))
             exchange.respond_problem(problem, head.request_id, context.shutting_down)
             return
         rule = context.rule_for(service, head.method, head.path)
@@ -89,6 +94,27 @@
                 latency_s = self._loop.time() - call.started_s
                 context.completed(service.name, call.status, latency_s, call.outcome)
 
+    def _refuse_identifier(self, request_id: str | None) -> Outcome:
+        """Returns what is true of a request that is refused before its service is known.
+
+        A request with an identifier may have run before, at this node or through another one, so
+        only the attempt table can tell that it was not run.
+        """
+        if request_id is None:
+            return "not-run"
+        attempts = self._context.attempts
+        now = self._loop.time()
+        verdict: Any = attempts.arrive(now, request_id)
+        kind = type(verdict).__name__
+        if kind == "Start":
+            attempts.finish(now, request_id, "not-run", None)
+        if kind == "Known":
+            outcome: Outcome = verdict.outcome
+            return outcome
+        if kind == "Replay":
+            return "done"
+        return "not-run" if kind in ("Start", "Refuse") else "unknown"
+
     async def _once(self, call: Call) -> None:
         """Runs an unrepeatable request unless its identifier says that it must not run here."""
         attempts = self._context.attempts
