--- a/anviltray/callers/_protocol.py
+++ b/anviltray/callers/_protocol.py
@@ -126,41 +126,24 @@
         self._head_since = None
         if self._rejection is not None or self._stopped:
             return
-        limit = self.caller_settings.header_limit_bytes
-        # The sum is needed only if more bytes were received than a head may have.
-        if self._head_bytes + self._fed_bytes > limit and self._head_size() > limit:
-            self._rejection = _HEAD_TOO_LARGE
-            return
-        if len(self.pipeline) >= PIPELINE_LIMIT:
-            self._rejection = _BAD_FRAMING
-            return
         parser = self.parser
-        scope = self.scope
         http_version = parser.get_http_version()
-        if http_version not in ("1.1", "1.0"):
-            self._rejection = _BAD_VERSION
+        # An invalid target raises an error that the parser passes on as HttpParserError.
+        url = httptools.parse_url(self.url)
+        upgrade = parser.should_upgrade()
+        self._rejection = self._head_problem(http_version, url.path, upgrade)
+        if self._rejection is not None:
             return
+        scope = self.scope
         scope["method"] = parser.get_method().decode("ascii")
         if http_version != "1.1":
             scope["http_version"] = http_version
-        # An invalid target raises an error that the parser passes on as HttpParserError.
-        url = httptools.parse_url(self.url)
-        raw_path = url.path
-        if not raw_path.startswith(b"/"):
-            self._rejection = _BAD_FRAMING  # The asterisk form of OPTIONS has no service.
-            return
-        path = raw_path.decode("ascii")
+        path = url.path.decode("ascii")
         if "%" in path:
             path = urllib.parse.unquote(path, errors="strict")
         scope["path"] = path
-        scope["raw_path"] = raw_path
+        scope["raw_path"] = url.path
         scope["query_string"] = url.query or b""
-        upgrade = parser.should_upgrade()
-        if upgrade and any(name in _BODY_HEADERS for name, _ in self.headers):
-            # httptools does not parse the body of such a request; without it the upstream would
-            # run another request.
-            self._rejection = _UPGRADE_WITH_BODY
-            return
         keep_alive = (
             http_version == "1.1"
             and parser.should_keep_alive()
@@ -177,6 +160,23 @@
             self.flow.pause_reading()
             self.pipeline.appendleft((exchange, self.app))
 
+    def _head_problem(self, http_version: str, raw_path: bytes, upgrade: bool) -> Problem | None:
+        """Returns why a head that is valid for the parser is refused."""
+        limit = self.caller_settings.header_limit_bytes
+        # The sum is needed only if more bytes were received than a head may have.
+        if self._head_bytes + self._fed_bytes > limit and self._head_size() > limit:
+            return _HEAD_TOO_LARGE
+        if http_version not in ("1.1", "1.0"):
+            return _BAD_VERSION
+        # A target without a path is the asterisk form of OPTIONS, which has no service.
+        if len(self.pipeline) >= PIPELINE_LIMIT or not raw_path.startswith(b"/"):
+            return _BAD_FRAMING
+        # httptools does not parse the body of an upgrade request; without it the upstream would run
+        # another request.
+        if upgrade and any(name in _BODY_HEADERS for name, _ in self.headers):
+            return _UPGRADE_WITH_BODY
+        return None
+
     def _head_size(self) -> int:
         return len(self.url) + sum(len(name) + len(value) + 4 for name, value in self.headers)
 
--- a/anviltray/callers/_server.py
+++ b/anviltray/callers/_server.py
@@ -5,12 +5,15 @@
 import socket
 from collections.abc import Callable, Iterator
 
+import logbook
 import uvicorn
 
 from anviltray.callers._application import CallerApplication
 from anviltray.callers._protocol import CallerProtocol, protocol_class
 from anviltray.settings import CallerSettings
 
+_log = logbook.Logger("anviltray.callers")
+
 # Pause between two checks of the time limits of connections.
 CHECK_INTERVAL_S = 0.25
 BACKLOG = 2048
@@ -101,8 +104,12 @@
     loop = asyncio.get_running_loop()
     while True:
         await asyncio.sleep(CHECK_INTERVAL_S)
-        now = loop.time()
-        for connection in list(server.server_state.connections):
-            if isinstance(connection, CallerProtocol):
-                connection.check_times(now)
-        application.dispatcher.expire_queued()
+        try:
+            now = loop.time()
+            for connection in list(server.server_state.connections):
+                if isinstance(connection, CallerProtocol):
+                    connection.check_times(now)
+            application.dispatcher.expire_queued()
+        except Exception:
+            # Without these checks, slow callers would hold connections for ever.
+            _log.exception("the check of time limits failed")
