Do not deny an earlier run in refusals of the parser and the connection limit

Cause: a request that ran through one node and was repeated through another one was told not-run if that node was at its connection limit or could not read the head, so a caller would book again. Change: these refusals say unknown.

--- a/anviltray/callers/_protocol.py
+++ b/anviltray/callers/_protocol.py
@@ -29,17 +29,34 @@
 # Requests that are on their way when a shutdown begins arrive within this time.
 SHUTDOWN_GRACE_S = 0.1
 
-_BAD_FRAMING = Problem(400, "bad-request", "the request is not valid HTTP", close=True)
-_BAD_VERSION = Problem(505, "http-version", "only HTTP/1.1 and HTTP/1.0 are served", close=True)
+# The identifier of a request whose head was refused here was not checked. The same request may have
+# run before through another node, so none of these problems claims that it was not run.
+_BAD_FRAMING = Problem(400, "bad-request", "the request is not valid HTTP", "unknown", close=True)
+_BAD_VERSION = Problem(
+    505, "http-version", "only HTTP/1.1 and HTTP/1.0 are served", "unknown", close=True
+)
 _UPGRADE_WITH_BODY = Problem(
-    501, "upgrade-with-body", "a request with a body and an Upgrade header is not read", close=True
+    501,
+    "upgrade-with-body",
+    "a request with a body and an Upgrade header is not read",
+    "unknown",
+    close=True,
 )
 _BODY_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
-_HEAD_TOO_LARGE = Problem(431, "head-too-large", "the request head is too large", close=True)
-_HEAD_TOO_SLOW = Problem(408, "head-timeout", "the request head took too long", close=True)
+_HEAD_TOO_LARGE = Problem(
+    431, "head-too-large", "the request head is too large", "unknown", close=True
+)
+_HEAD_TOO_SLOW = Problem(
+    408, "head-timeout", "the request head took too long", "unknown", close=True
+)
 _BODY_TOO_SLOW = Problem(408, "body-timeout", "the request body took too long", close=True)
 _TOO_MANY_CONNECTIONS = Problem(
-    503, "connection-limit", "the node has too many connections", retry_after_s=1, close=True
+    503,
+    "connection-limit",
+    "the node has too many connections",
+    "unknown",
+    retry_after_s=1,
+    close=True,
 )
 
 
--- a/anviltray/callers/tests/test_attempts.py
+++ b/anviltray/callers/tests/test_attempts.py
@@ -299,3 +299,22 @@
         assert (await call(node.address, "GET /levels/9")).body == b"/levels/9"
 
     run([echo], test)
+
+
+@pytest.mark.parametrize(
+    ("head", "headers", "status"),
+    [("POST /nowhere", {}, 404), ("POST /crews", {"Anviltray_Deadline_Ms": "soon"}, 400)],
+    ids=["no route", "unreadable head"],
+)
+def test_refusal_before_the_attempt_table_does_not_deny_an_earlier_run(head, headers, status):
+    """A caller that is told not-run books again, so the first booking must not have run."""
+
+    async def test(node, upstreams):
+        identifier = {"Anviltray_Request_Id": "n1.1.0.x"}
+        first = await node.call("POST /crews", b"body", **identifier)
+        assert first.headers["anviltray-outcome"] == "done"
+        second = await node.call(head, b"body", **identifier, **headers)
+        assert second.status == status
+        assert second.headers["anviltray-outcome"] in ("done", "unknown")
+
+    run([ok()], test)
