--- a/anviltray/decisions/detection/_likelihood.py
+++ b/anviltray/decisions/detection/_likelihood.py
@@ -62,20 +62,19 @@
         self.ignore_before_s = float("-inf")  # Exchanges started earlier are no evidence.
         self.warm_s = float("-inf")  # Latencies are no evidence before this time.
         self.waiting: dict[int, _Exchange] = {}  # Before the first byte, oldest first.
-        self.streaming: dict[int, _Exchange] = {}  # Within the body, oldest first byte first.
+        self.streaming: dict[int, _Exchange] = {}  # Within the body.
 
 
 class _Exchange:
     """One exchange in flight."""
 
-    __slots__ = ("fresh", "late", "phase_s", "started_s", "watch")
+    __slots__ = ("fresh", "late", "started_s", "watch")
 
     def __init__(self, watch: _Watch, started_s: float, fresh: bool) -> None:
         self.watch = watch
         self.started_s = started_s
-        self.phase_s = started_s  # Start of the current phase.
         self.fresh = fresh
-        self.late = False  # A phase took longer than usual.
+        self.late = False  # The answer took longer than usual.
 
 
 class LikelihoodRatioDetector:
@@ -83,20 +82,18 @@
 
     The age of exchanges in flight adds to the sum over latencies for as long as they last. The
     larger of both sums is the ratio of the upstream. Refusals, exchanges that the caller left and
-    latencies of a warming upstream change nothing. Latency is that until the first byte and, if
-    `body` is set, separately that of the body; or that of the whole exchange if `split` is not set.
+    latencies of a warming upstream change nothing. Latency is that until the first byte, or that
+    of the whole exchange if `until_first_byte` is not set. The body is no evidence: a slow caller
+    looks like a stalled body.
     """
 
-    def __init__(self, sensitivity: Sensitivity, split: bool, body: bool) -> None:
+    def __init__(self, sensitivity: Sensitivity, until_first_byte: bool) -> None:
         self._sensitivity = sensitivity
-        self._split = split
-        self._body = body
+        self._until_first_byte = until_first_byte
         self._watches: dict[str, _Watch] = {}
         self._touched: dict[str, _Watch] = {}
         self._exchanges: dict[int, _Exchange] = {}
-        limits = sensitivity.survival_floor, sensitivity.latency_tolerance
-        self._wait_model = LatencyModel(*limits)
-        self._body_model = LatencyModel(*limits)
+        self._model = LatencyModel(sensitivity.survival_floor, sensitivity.latency_tolerance)
         self._errors = 0.0
         self._outcomes = 0.0
         self._decayed_s: float | None = None
@@ -117,8 +114,7 @@
 
     def tune(self, sensitivity: Sensitivity) -> None:
         self._sensitivity = sensitivity
-        for model in (self._wait_model, self._body_model):
-            model.tune(sensitivity.survival_floor, sensitivity.latency_tolerance)
+        self._model.tune(sensitivity.survival_floor, sensitivity.latency_tolerance)
         self._set_outcome_scores()
 
     def started(self, now_s: float, address: str, number: int, fresh_connection: bool) -> None:
@@ -136,12 +132,11 @@
         if exchange.fresh:
             watch.fresh_answer_s = now_s
         watch.connect_failures = 0
-        if self._split and number in watch.waiting:
+        if self._until_first_byte and number in watch.waiting:
             del watch.waiting[number]
             watch.streaming[number] = exchange
             if exchange.started_s >= watch.ignore_before_s:
-                self._timed(now_s, exchange, self._wait_model)
-            exchange.phase_s = now_s
+                self._timed(now_s, exchange)
 
     def ended(self, now_s: float, number: int, outcome: ExchangeOutcome) -> None:
         exchange = self._exchanges.pop(number, None)
@@ -168,23 +163,22 @@
         total = watch.failures + self._success_score
         watch.failures = total if total > 0.0 else 0.0
         if waited:
-            self._timed(now_s, exchange, self._wait_model)
-        elif self._body:
-            self._timed(now_s, exchange, self._body_model)
+            self._timed(now_s, exchange)
         if not exchange.late:
             watch.answers += 1
             watch.answered_s = now_s
 
-    def _timed(self, now_s: float, exchange: _Exchange, model: LatencyModel) -> None:
-        """Takes the length of a phase that is over."""
+    def _timed(self, now_s: float, exchange: _Exchange) -> None:
+        """Takes the latency of a response."""
+        model = self._model
         watch = exchange.watch
         if now_s < watch.warm_s:
             return
-        index = model.bin(now_s - exchange.phase_s)
+        index = model.bin(now_s - exchange.started_s)
         score = model.finished_scores[index]
         if self._common or (watch.failures < _SUSPECT and watch.latencies < _SUSPECT):
             model.add(index)
-        exchange.late = exchange.late or score > 0.0
+        exchange.late = score > 0.0
         total = watch.latencies + score
         watch.latencies = total if total > 0.0 else 0.0
 
@@ -198,10 +192,9 @@
             score *= _REUSED_BROKEN_WEIGHT
         if outcome is ExchangeOutcome.CONNECT_FAILED:
             watch.connect_failures += 1
-        timed = (waited or self._body) and now_s >= watch.warm_s
-        if outcome is ExchangeOutcome.TIMED_OUT and timed:
-            model = self._wait_model if waited else self._body_model
-            watch.latencies += model.age_scores[model.bin(now_s - exchange.phase_s)]
+        if outcome is ExchangeOutcome.TIMED_OUT and waited and now_s >= watch.warm_s:
+            model = self._model
+            watch.latencies += model.age_scores[model.bin(now_s - exchange.started_s)]
         if watch.failures < _SUSPECT or self._common:
             self._errors += 1.0
             self._outcomes += 1.0
@@ -230,15 +223,13 @@
         watch.ignore_before_s = now_s
 
     def survey(self, now_s: float) -> dict[str, Reading]:
-        self._wait_model.refresh(now_s, len(self._watches))
-        if self._body:
-            self._body_model.refresh(now_s, len(self._watches))
+        self._model.refresh(now_s, len(self._watches))
         factor = self._decay(now_s)
         readings: dict[str, Reading] = {}
         suspects = 0
         for address, watch in list(self._touched.items()):
             flying, count = 0.0, 0
-            if watch.waiting or watch.streaming:
+            if watch.waiting:
                 flying, count = self._in_flight(now_s, watch)
             ratio = flying
             if watch.failures or watch.latencies:
@@ -285,20 +276,11 @@
         """Returns the evidence in the ages of exchanges in flight and their number."""
         if now_s < watch.warm_s:
             return 0.0, 0
-        total, count = self._ages(now_s, watch, watch.waiting, self._wait_model)
-        if self._body:
-            more, streaming = self._ages(now_s, watch, watch.streaming, self._body_model)
-            return total + more, count + streaming
-        return total, count
-
-    @staticmethod
-    def _ages(
-        now_s: float, watch: _Watch, exchanges: dict[int, _Exchange], model: LatencyModel
-    ) -> tuple[float, int]:
+        model = self._model
         total = 0.0
         count = 0
-        for exchange in exchanges.values():
-            age_s = now_s - exchange.phase_s
+        for exchange in watch.waiting.values():
+            age_s = now_s - exchange.started_s
             if age_s < model.quiet_age_s or total > _RATIO_LIMIT:
                 break
             if exchange.started_s < watch.ignore_before_s:
@@ -320,22 +302,17 @@
             "in_flight_age": round(self._in_flight(now_s, watch)[0], 2),
             "samples": watch.samples,
             "in_flight": len(watch.waiting) + len(watch.streaming),
-            "service_p50_s": round(self._wait_model.quantile(0.5), 4),
-            "service_p99_s": round(self._wait_model.quantile(0.99), 4),
+            "service_p50_s": round(self._model.quantile(0.5), 4),
+            "service_p99_s": round(self._model.quantile(0.99), 4),
             "failure_score": round(self._failure_score, 2),
         }
 
 
 @detectors.register("likelihood_ratio")
-def _first_byte(sensitivity: Sensitivity) -> Detector:
-    return LikelihoodRatioDetector(sensitivity, split=True, body=False)
-
-
-@detectors.register("likelihood_ratio_phases")
-def _phases(sensitivity: Sensitivity) -> Detector:
-    return LikelihoodRatioDetector(sensitivity, split=True, body=True)
+def _until_first_byte(sensitivity: Sensitivity) -> Detector:
+    return LikelihoodRatioDetector(sensitivity, until_first_byte=True)
 
 
 @detectors.register("likelihood_ratio_whole")
-def _whole(sensitivity: Sensitivity) -> Detector:
-    return LikelihoodRatioDetector(sensitivity, split=False, body=False)
+def _whole_exchange(sensitivity: Sensitivity) -> Detector:
+    return LikelihoodRatioDetector(sensitivity, until_first_byte=False)
--- a/anviltray/decisions/ejection/tests/test_state_machine.py
+++ b/anviltray/decisions/ejection/tests/test_state_machine.py
@@ -21,7 +21,7 @@
     derandomize=True,
     database=None,
     deadline=None,
-    max_examples=max(25, 2 * int(os.environ.get("FUZZ_SECONDS", "0"))),
+    max_examples=max(40, 2 * int(os.environ.get("FUZZ_SECONDS", "0"))),
     stateful_step_count=30,
     suppress_health_check=list(HealthCheck),
 )
@@ -225,6 +225,8 @@
     """Guards against a machine that passes because it never reaches the floor."""
     monkeypatch.setattr(_service, "select", remove_all_suspects)
     # Shrinking a failure that is expected would take minutes.
-    quick = settings(SETTINGS, phases=[Phase.generate], report_multiple_bugs=False)
+    quick = settings(
+        SETTINGS, max_examples=300, phases=[Phase.generate], report_multiple_bugs=False
+    )
     with pytest.raises(AssertionError):
         run_state_machine_as_test(FloorMachine, settings=quick)
--- a/measure/detection.py
+++ b/measure/detection.py
@@ -42,7 +42,6 @@
 PHASES = {
     "whole": "likelihood_ratio_whole",
     "first_byte": "likelihood_ratio",
-    "phases": "likelihood_ratio_phases",
 }
 PHASE_TRIALS = 40
 
@@ -263,7 +262,7 @@
 
 
 def phase_rows() -> list[Row]:
-    """Compares evidence per whole exchange, until the first byte, and by both phases."""
+    """Compares evidence per whole exchange with evidence until the first byte."""
     rows: list[Row] = []
     for name, detector in PHASES.items():
         rows += detection_rows(
