--- a/anviltray/testing/_addresses.py
+++ b/anviltray/testing/_addresses.py
@@ -1,28 +1,17 @@
 """Addresses for the servers of a test."""
 
-import random
+import secrets
 import socket
 
-# Below the usual range of ports that the kernel gives to outgoing connections; a port of that
-# range could be taken between the choice here and the start of the server.
-_LOWEST_PORT = 12_000
-_HIGHEST_PORT = 32_000
 
-_random = random.SystemRandom()
-_given: set[str] = set()
+def free_address(host: str | None = None) -> str:
+    """Returns "IP:port" with a port of a loopback address that is free at the moment.
 
-
-def free_address(host: str = "127.0.0.1") -> str:
-    """Returns "IP:port" of a loopback address that is free and was not returned before."""
-    while True:
-        port = _random.randint(_LOWEST_PORT, _HIGHEST_PORT)
-        address = f"{host}:{port}"
-        if address in _given:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind((host, port))
-            except OSError:
-                continue
-        _given.add(address)
-        return address
+    Without `host` the address is one of 127.0.0.2 to 127.0.0.254: outgoing connections take their
+    ports from 127.0.0.1 and could take the port before the server of the test does.
+    """
+    if host is None:
+        host = f"127.0.0.{2 + secrets.randbelow(253)}"
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
