Prove graceful shutdown and draining, and answer asks of a leaving node with 503

Nodes and upstreams are shut down under unrepeatable traffic without a second try, also during an outage of the platform while one upstream is silent to the node. A node that leaves serves for half a second more than the lifetime of its answers, since a request sent at its end still has to arrive.

Three upstreams leave by their own answers, by the host list and by an operator; no request reaches them after 6 s (the invariant says 3 s), also during an outage and a one-way cut, nor through a node that was paused meanwhile.

--- a/anviltray/callers/_application.py
+++ b/anviltray/callers/_application.py
@@ -37,6 +37,14 @@
         addresses = context.entry_addresses(
             context.members(), service, region, request.remote_addr, settings.answer_addresses
         )
+        if not addresses or context.shutting_down:
+            # The caller would keep an empty answer for its lifetime instead of asking another
+            # node, and identifiers with the prefix of a leaving node end as unknown once it left.
+            raise falcon.HTTPServiceUnavailable(
+                title="no-entry-address",
+                description="this node is leaving or knows no node that takes requests",
+                retry_after=1,
+            )
         response.media = {
             "service": service,
             "addresses": list(addresses),
--- a/anviltray/node/_node.py
+++ b/anviltray/node/_node.py
@@ -47,6 +47,10 @@
 _COUNTERS_INTERVAL_S = 10.0  # Six messages in each slot of the burn report.
 _PROBE_TIMEOUT_S = 1.0
 
+# A request that a caller sends at the end of the lifetime of its answer still has to arrive here,
+# possibly forwarded by another node.
+_ARRIVAL_MARGIN_S = 0.5
+
 
 class Node:
     """One node: all tasks and the state they own.
@@ -147,7 +151,7 @@
         self.context.shutting_down = True
         _log.info("leaving")
         self.exchange.send(Members((self.exchange.membership.leave(),)))
-        await asyncio.sleep(self.settings.callers.answer_lifetime_s)
+        await asyncio.sleep(self.settings.callers.answer_lifetime_s + _ARRIVAL_MARGIN_S)
         self._stop_callers.set()
         await self._serving[0]
         await self.close()
--- a/standins/tests/seeded_node.py
+++ b/standins/tests/seeded_node.py
@@ -11,9 +11,9 @@
 
 from anviltray.callers import _exchange, _runner
 from anviltray.decisions.attempts import Forward, Start, _table
-from anviltray.decisions.draining import LeavingSet
 from anviltray.decisions.ejection import _service
 from anviltray.node import Node, main
+from anviltray.node._context import NodeContext
 from anviltray.platform import PlatformError
 from anviltray.state import CommandOutcome, CommandPublisher, LogFollower
 from anviltray.state.configuration import ConfigurationStore, encode_record
@@ -134,7 +134,7 @@
 @seeded_fault
 def ignore_leaving():
     """Leaving upstreams stay in use."""
-    LeavingSet.addresses = property(lambda self: frozenset())
+    NodeContext.take_leaving = lambda self, now_s: None
 
 
 @seeded_fault
