Run requests through the fuzzed state machine of their attempts

Cause: the dispatcher kept its own flags for what may have run, while the stateful tests attack RequestAttempts, so the proof did not cover the code that serves requests. Change: each call owns a RequestAttempts; every phase of an attempt is an event of it, and it alone decides on another attempt and on the outcome. may_start takes the attempt that a new one replaces.

--- a/anviltray/callers/_attempt.py
+++ b/anviltray/callers/_attempt.py
@@ -4,6 +4,7 @@
 
 from anviltray.callers._context import CallerContext
 from anviltray.decisions import ExchangeOutcome
+from anviltray.decisions.attempts import AttemptEvent, RequestAttempts
 
 
 class Attempt:
@@ -14,6 +15,7 @@
     """
 
     __slots__ = (
+        "_attempts",
         "_context",
         "_exchange",
         "_loop_time",
@@ -24,13 +26,21 @@
         "fresh",
         "latency_s",
         "load",
+        "number",
         "outcome",
         "written",
     )
 
     def __init__(
-        self, context: CallerContext, service: str, address: str, loop_time: Callable[[], float]
+        self,
+        context: CallerContext,
+        attempts: RequestAttempts,
+        service: str,
+        address: str,
+        loop_time: Callable[[], float],
     ) -> None:
+        self._attempts = attempts
+        self.number = attempts.start()
         self._context = context
         self._service = service
         self._loop_time = loop_time
@@ -55,6 +65,7 @@
     def writing(self) -> None:
         """The first byte of the request is about to be written."""
         self.written = True
+        self._attempts.record(self.number, AttemptEvent.WRITE)
 
     def first_byte(self) -> None:
         """The head of the response has arrived."""
@@ -62,6 +73,10 @@
         if self._exchange is not None:
             self._context.board.first_byte(now, self._exchange)
 
+    def record(self, event: AttemptEvent) -> None:
+        """Tells the state machine of the request's attempts what happened to this one."""
+        self._attempts.record(self.number, event)
+
     def ended(self, outcome: ExchangeOutcome) -> None:
         """Reports the end; further calls change nothing.
 
--- a/anviltray/callers/_call.py
+++ b/anviltray/callers/_call.py
@@ -8,6 +8,7 @@
 from anviltray.callers._exchange import CallerExchange
 from anviltray.callers._head import RequestHead
 from anviltray.callers._problems import Problem
+from anviltray.decisions.attempts import RequestAttempts
 from anviltray.declarations import RetryRule, Service
 
 # A deadline that passes after the response has waited for the caller for more than this part of the
@@ -20,13 +21,13 @@
 
     __slots__ = (
         "attempt",
+        "attempts",
         "blocked",
         "body",
         "deadline_s",
-        "done",
+        "decided",
         "exchange",
         "head",
-        "may_have_run",
         "request_id",
         "rule",
         "service",
@@ -58,17 +59,20 @@
         self.attempt: Attempt | None = None
         self.timed_out = False
         self.blocked = False  # The caller did not read when the time was over.
-        self.may_have_run = False  # A byte was written and there is no proof of not-run.
-        self.done = False  # The whole response was received.
+        self.attempts = RequestAttempts(rule)
+        self.decided: Outcome | None = None  # Outcome from another node or the attempt table.
         self.status = 0  # Status that was sent to the caller.
         self.stored: StoredResponse | None = None
 
     @property
     def outcome(self) -> Outcome:
         """What is known about the request now."""
-        if self.done:
-            return "done"
-        return "unknown" if self.may_have_run else "not-run"
+        return self.decided or self.attempts.outcome
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the request may run or have run, here or through another node."""
+        return self.decided not in (None, "not-run") or self.attempts.may_have_run
 
     def respond_problem(self, problem: Problem, close: bool = False) -> None:
         """Answers with a problem that tells the outcome known now."""
@@ -92,10 +96,7 @@
 
         That one is read to its end, so that a duplicate gets its response instead of `unknown`.
         """
-        unrepeatable_running = self.rule is None and (
-            self.may_have_run or (self.attempt is not None and self.attempt.written)
-        )
-        if self.task is not None and not unrepeatable_running:
+        if self.task is not None and (self.rule is not None or not self.may_have_run):
             self.task.cancel()
 
     def take_time_out(self) -> bool:
--- a/anviltray/callers/_dispatcher.py
+++ b/anviltray/callers/_dispatcher.py
@@ -17,6 +17,7 @@
 from anviltray.callers._runner import Runner
 from anviltray.callers._ticket import Ticket, release
 from anviltray.decisions import ExchangeOutcome
+from anviltray.decisions.attempts import AttemptEvent
 
 _log = logbook.Logger("anviltray.callers")
 
@@ -86,7 +87,8 @@
             context.count("caller.left")
         except Exception:
             _log.exception("request of service {} failed", service.name)
-            call.may_have_run |= call.attempt is not None and call.attempt.written
+            if call.attempt is not None:
+                call.attempt.record(AttemptEvent.FAILED)
             call.respond_problem(_FAULT)
         finally:
             exchange.on_disconnect = None
@@ -136,7 +138,7 @@
             stored = verdict.response
             headers = list(stored.headers)
             add_length(call.head.method, stored.status, headers, len(stored.body))
-            call.status, call.done = stored.status, True
+            call.status, call.decided = stored.status, "done"
             exchange.respond(stored.status, headers, stored.body, close)
         elif kind == "Forward":
             address = context.node_address(verdict.node, verdict.incarnation)
@@ -153,9 +155,8 @@
             # Before admission, so that a caller that sends slowly holds no slot.
             await self._read_body(call)
         name = call.service.name
-        admission = self._admissions.get(name)
-        if admission is None:
-            admission = self._admissions[name] = context.admission(name)
+        # A service that was removed and declared again has a new admission.
+        admission = self._admissions[name] = context.admission(name)
         ticket = Ticket()
         now = self._loop.time()
         verdict: Any = admission.arrive(now, call.exchange.caller, call.deadline_s, ticket)
--- a/anviltray/callers/_forward.py
+++ b/anviltray/callers/_forward.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from anviltray.callers._call import Call
-from anviltray.callers._context import CallerContext
+from anviltray.callers._context import CallerContext, Outcome
 from anviltray.callers._head import DEADLINE_HEADER, FORWARDED_HEADER, REQUEST_ID_HEADER
 from anviltray.callers._problems import OUTCOME_HEADER, Problem
 from anviltray.callers._relay import add_length
@@ -19,6 +19,8 @@
     "unknown",
 )
 
+_OUTCOMES: dict[bytes, Outcome] = {b"done": "done", b"not-run": "not-run"}
+
 _OBSERVER = SilentObserver()
 
 
@@ -27,7 +29,7 @@
 
     Any failure is `unknown`: an earlier request with the identifier may have run there.
     """
-    call.may_have_run = True
+    call.decided = "unknown"
     # Two nodes that each take the other for the issuer must not send a request back and forth.
     if address is None or call.head.forwarded:
         call.respond_problem(_GONE, context.shutting_down)
@@ -81,5 +83,4 @@
             await exchange.write(chunk)
         exchange.end()
     outcomes = dict(response.headers)
-    call.done = outcomes.get(OUTCOME_HEADER) == b"done"
-    call.may_have_run = outcomes.get(OUTCOME_HEADER) != b"not-run"
+    call.decided = _OUTCOMES.get(outcomes.get(OUTCOME_HEADER, b""), "unknown")
--- a/anviltray/callers/_relay.py
+++ b/anviltray/callers/_relay.py
@@ -8,6 +8,7 @@
 from anviltray.callers._head import REQUEST_ID_HEADER
 from anviltray.callers._problems import OUTCOME_HEADER, Problem
 from anviltray.decisions import ExchangeOutcome
+from anviltray.decisions.attempts import AttemptEvent
 from anviltray.upstreams import UpstreamError, UpstreamResponse
 
 _CUT_SHORT = Problem(502, "response-cut-short", "the response of the upstream was cut short")
@@ -35,10 +36,11 @@
         await _copy(context, call, attempt, response)
         return None
     except UpstreamError:
+        attempt.record(AttemptEvent.FAILED)
         attempt.ended(ExchangeOutcome.BROKEN)
         failure = _CUT_SHORT
     except asyncio.CancelledError:
-        call.may_have_run = True
+        attempt.record(AttemptEvent.FAILED)
         if not call.take_time_out():
             attempt.ended(ExchangeOutcome.ABANDONED)
             raise
@@ -48,7 +50,6 @@
     finally:
         timer.cancel()
         response.close()
-    call.may_have_run = True
     if exchange.response_started:
         exchange.abort()
         return None
@@ -95,7 +96,7 @@
     """Records that the whole response was received."""
     failed = response.status >= 500
     attempt.ended(ExchangeOutcome.SERVER_ERROR if failed else ExchangeOutcome.OK)
-    call.done = True
+    attempt.record(AttemptEvent.ERROR if failed else AttemptEvent.COMPLETE)
     if call.rule is None:
         _store(context, call, response, body)
 
--- a/anviltray/callers/_runner.py
+++ b/anviltray/callers/_runner.py
@@ -8,6 +8,7 @@
 from anviltray.callers._problems import Problem
 from anviltray.callers._relay import relay
 from anviltray.decisions import ExchangeOutcome, RoutableUpstream
+from anviltray.decisions.attempts import UNREPEATABLE_ATTEMPTS, AttemptEvent
 from anviltray.upstreams import (
     ConnectFailed,
     ConnectionsExhausted,
@@ -16,8 +17,6 @@
     UpstreamResponse,
 )
 
-# An unrepeatable request goes to another upstream only after proof that it was not run.
-UNREPEATABLE_TRIES = 3
 # An unrepeatable request that gets no response leaves this part of its time, at most this many
 # seconds, for the question whether the upstream can still cancel it.
 CANCEL_SHARE = 0.1
@@ -50,7 +49,7 @@
         router = context.router(name)
         now = self._loop.time()
         budget.request(now)
-        tries = UNREPEATABLE_TRIES if call.rule is None else call.rule.attempts
+        tries = UNREPEATABLE_ATTEMPTS if call.rule is None else call.rule.attempts
         failure = NO_UPSTREAM
         exclude: frozenset[str] = frozenset()
         previous: RoutableUpstream | None = None
@@ -62,18 +61,20 @@
                 if previous is None or call.attempt is None or call.attempt.fresh:
                     break
                 upstream = previous  # Only the connection may be dead; the next one is new.
-            attempt = call.attempt = Attempt(context, name, upstream.address, self._loop.time)
+            attempt = call.attempt = Attempt(
+                context, call.attempts, name, upstream.address, self._loop.time
+            )
             result: UpstreamResponse | Problem | None
             result = await self._exchange(call, attempt, tries)
             tries -= 1
             if isinstance(result, UpstreamResponse):
                 repeat = call.rule is not None and result.status in _REPEATED_STATUSES
-                if not repeat or not self._may_repeat(call, tries):
+                if not repeat or not self._may_repeat(call, tries, attempt.number):
                     result = await relay(context, call, attempt, result)
                     if result is None:
                         return
                 else:
-                    call.may_have_run = True
+                    attempt.record(AttemptEvent.FAILED)
                     attempt.ended(ExchangeOutcome.SERVER_ERROR)
                     result.close()
                     failure = _BROKEN
@@ -86,14 +87,12 @@
             previous = upstream
         call.respond_problem(failure, context.shutting_down)
 
-    def _may_repeat(self, call: Call, tries: int) -> bool:
+    def _may_repeat(self, call: Call, tries: int, replaced: int | None = None) -> bool:
         """Tells whether another attempt may be made; takes it from the retry budget if so."""
         if tries <= 0 or not call.body.can_repeat or call.exchange.response_started:
             return False
-        if call.rule is None and call.may_have_run:
-            return False
         now = self._loop.time()
-        if call.deadline_s - now < LEAST_TRY_S:
+        if not call.attempts.may_start(now, call.deadline_s - LEAST_TRY_S, replaced):
             return False
         return self._context.retry_budget(call.service.name).take(now)
 
@@ -103,6 +102,7 @@
         now = self._loop.time()
         remaining = call.deadline_s - now
         if remaining <= 0:
+            attempt.record(AttemptEvent.FAILED)
             return _TIMED_OUT
         head, body = call.head, call.body
         extra = self._client.dialect.request_headers(remaining, call.request_id)
@@ -122,8 +122,8 @@
             return await self._failed(call, attempt, error)
         except asyncio.CancelledError:
             timer.cancel()
+            attempt.record(AttemptEvent.FAILED)
             if not call.take_time_out():
-                call.may_have_run |= attempt.written
                 attempt.ended(ExchangeOutcome.ABANDONED)
                 raise
             attempt.ended(ExchangeOutcome.TIMED_OUT)
@@ -145,14 +145,16 @@
         if signals.cold:
             self._context.board.warming(self._loop.time(), attempt.address)
         if signals.refused:
+            attempt.record(AttemptEvent.REFUSED)
             attempt.ended(ExchangeOutcome.REFUSED)
             response.close()
             return _REFUSED
+        attempt.record(AttemptEvent.RESPONSE)
         return response
 
     async def _failed(self, call: Call, attempt: Attempt, error: UpstreamError) -> Problem:
+        attempt.record(AttemptEvent.FAILED)
         if call.body.error is not None:
-            call.may_have_run |= attempt.written
             attempt.ended(ExchangeOutcome.ABANDONED)
             raise call.body.error
         if isinstance(error, ConnectionsExhausted):
@@ -168,19 +170,14 @@
         return _BROKEN
 
     async def _prove_not_run(self, call: Call, attempt: Attempt) -> None:
-        """Records that the request may have run unless there is proof that it was not."""
-        if not attempt.written:
+        """Asks the upstream to cancel an unrepeatable request that has got no response."""
+        if not attempt.written or call.rule is not None or call.request_id is None:
+            return
+        remaining = min(CANCEL_LIMIT_S, call.deadline_s - self._loop.time())
+        if remaining <= 0:
             return
-        if call.rule is None and call.request_id is not None:
-            remaining = min(CANCEL_LIMIT_S, max(0.0, call.deadline_s - self._loop.time()))
-            # If this is cancelled, the outcome must be unknown already.
-            call.may_have_run = True
-            if remaining > 0:
-                call.may_have_run = not await self._client.cancel(
-                    attempt.address, call.request_id, remaining
-                )
-        else:
-            call.may_have_run = True
+        if await self._client.cancel(attempt.address, call.request_id, remaining):
+            attempt.record(AttemptEvent.CANCELLED)
 
 
 def _try_s(call: Call, remaining_s: float, tries: int) -> float:
--- a/anviltray/decisions/attempts/__init__.py
+++ b/anviltray/decisions/attempts/__init__.py
@@ -12,6 +12,7 @@
     parse_identifier,
 )
 from anviltray.decisions.attempts._machine import (
+    UNREPEATABLE_ATTEMPTS,
     AttemptEvent,
     AttemptState,
     RequestAttempts,
@@ -52,6 +53,7 @@
     "SUFFIX_LIMIT",
     "Start",
     "StoredResponse",
+    "UNREPEATABLE_ATTEMPTS",
     "WrongAttemptEvent",
     "format_prefix",
     "parse_identifier",
--- a/anviltray/decisions/attempts/_machine.py
+++ b/anviltray/decisions/attempts/_machine.py
@@ -86,8 +86,11 @@
         """States of all attempts in the order of their start."""
         return tuple(self._states)
 
-    def may_start(self, now_s: float, deadline_s: float) -> bool:
-        """Tells whether another attempt is allowed; the retry budget is asked separately."""
+    def may_start(self, now_s: float, deadline_s: float, replaced: int | None = None) -> bool:
+        """Tells whether another attempt is allowed; the retry budget is asked separately.
+
+        `replaced` is an attempt that the caller of this method ends if the new one is allowed.
+        """
         if now_s >= deadline_s or self._delivering or AttemptState.DONE in self._states:
             return False
         if all(state is AttemptState.NOT_RUN for state in self._states):
@@ -99,7 +102,8 @@
             return False
         running = any(
             state in (AttemptState.CONNECTING, AttemptState.SENT, AttemptState.ANSWERING)
-            for state in self._states
+            for number, state in enumerate(self._states)
+            if number != replaced
         )
         return self._rule.hedge if running else True
 
@@ -125,6 +129,13 @@
         self._states[attempt] = new
         return new
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a byte of any attempt was written without proof that it was not started."""
+        return any(
+            state not in (AttemptState.CONNECTING, AttemptState.NOT_RUN) for state in self._states
+        )
+
     def deliver(self) -> None:
         """Records that a byte of a response went to the caller; no other attempt may follow."""
         self._delivering = True
