Keep the floor rule from failing when every upstream leaves

With a floor of 0 and no usable upstream, the rule that keeps the last upstream took one from an empty list. The state machine found it with floor 0 and all upstreams leaving.

Change: the rule applies only if something was removed; one row more in the table.

Conclusion: the fault is fixed and covered without the state machine.

--- a/anviltray/decisions/ejection/_floor.py
+++ b/anviltray/decisions/ejection/_floor.py
@@ -56,7 +56,7 @@
             spare -= cost
             removed.append(candidate.address)
     # A floor of 0 would allow to remove the last upstream.
-    if len(removed) == len(candidates):
+    if removed and len(removed) == len(candidates):
         removed.pop()
     return frozenset(removed)
 
--- a/anviltray/decisions/ejection/tests/test_floor.py
+++ b/anviltray/decisions/ejection/tests/test_floor.py
@@ -29,6 +29,7 @@
         pytest.param("a:4:1 b:4:0 c:4:0", 8, "a", "a", id="peers-ejected-the-same"),
         pytest.param("a:4:1", 0, "", "", id="last-one-stays"),
         pytest.param("", 4, "", "", id="no-upstreams"),
+        pytest.param("", 0, "", "", id="no-upstreams-and-no-floor"),
     ],
 )
 def test_select(members, floor, heard, removed):
