End the measured nodes together

Cause: the idle measurement was ended twice by its time limit. Its 49 nodes were ended one after another in one loop, and the rest spent the time on replacing the lost connections. Change: all nodes of a measurement end at the same time. Conclusion: a rack that fails at once costs the survivors' loop much time when all nodes share one core; this needs a measurement with one process for each node.

--- a/measure/configuration.py
+++ b/measure/configuration.py
@@ -198,8 +198,8 @@
         await _until(lambda: all(node.ready_reason() is None for node in nodes))
         yield nodes
     finally:
-        for node in nodes:
-            await node.abort()
+        # One after the other, the rest would spend minutes replacing lost connections.
+        await asyncio.gather(*(node.abort() for node in nodes))
 
 
 def _node(
