Start the concurrency limit from a multiple of the node's share

The trace shows the problem type overload: one caller had 11 requests in flight at one node, whose limit started from its share of the slots, while upstreams had free slots. Ruled out: a cut connection, readiness, routing. Change: the limit starts from four times the share, the largest value that it could reach; the stand-in of the caller records the type of a problem document.

--- a/anviltray/decisions/limits/_admission.py
+++ b/anviltray/decisions/limits/_admission.py
@@ -26,7 +26,9 @@
 
     def __init__(self, settings: AdmissionSettings | None = None) -> None:
         self._settings = settings or AdmissionSettings()
-        self._limit = ConcurrencyLimit(self._settings.initial_latency_s)
+        self._limit = ConcurrencyLimit(
+            self._settings.initial_latency_s, self._settings.start_factor
+        )
         self._queue = FairQueue()
         self._in_flight: set[int] = set()
         self._not_started: list[int] = []
--- a/anviltray/decisions/limits/_concurrency.py
+++ b/anviltray/decisions/limits/_concurrency.py
@@ -17,14 +17,19 @@
 _LARGEST_FACTOR = 4.0  # of the node's share; callers may concentrate on a few nodes.
 
 
+def _largest(share: float) -> float:
+    return max(_LARGEST_FACTOR * share, share + 4)
+
+
 class ConcurrencyLimit:
-    """Starts from the node's share of the service's slots and follows refusals and latency.
+    """Starts from a multiple of the node's share of the slots, follows refusals and latency.
 
     Additive increase while the limit is in use, multiplicative decrease after a refusal, a time-out
     or a rise of latency, at most once per usual latency.
     """
 
-    def __init__(self, initial_latency_s: float) -> None:
+    def __init__(self, initial_latency_s: float, start_factor: float) -> None:
+        self._start_factor = start_factor
         self._share = 1.0
         self._limit = 1.0
         self._usual_s = initial_latency_s
@@ -46,7 +51,10 @@
     def set_share(self, share: float) -> None:
         """Sets the node's share of the slots; the limit changes in proportion."""
         share = max(1.0, share)
-        self._limit = max(1.0, self._limit * share / self._share)
+        if self._congested_s == float("-inf"):
+            self._limit = min(share * self._start_factor, _largest(share))
+        else:
+            self._limit = max(1.0, self._limit * share / self._share)
         self._share = share
 
     def ended(
@@ -60,7 +68,7 @@
             if self._recent_s > _CONGESTED_RATIO * self._usual_s:
                 self._decrease(now_s)
             elif in_flight >= self._limit - 1:
-                largest = max(_LARGEST_FACTOR * self._share, self._share + 4)
+                largest = _largest(self._share)
                 soon = now_s - self._congested_s < _SOON_S
                 step = (_INCREASE_SOON if soon else _INCREASE) / self._limit
                 self._limit = min(largest, self._limit + step)
--- a/anviltray/decisions/limits/_types.py
+++ b/anviltray/decisions/limits/_types.py
@@ -14,6 +14,9 @@
     wait_limit_s: float = 0.25  # Longest expected wait; a longer queue only adds latency.
     retry_after_limit_s: float = 30.0  # Largest Retry-After.
     initial_latency_s: float = 0.05  # Assumed service time before the first response.
+    # The limit starts from this multiple of the node's share of the slots. Callers may concentrate
+    # on few nodes; a start from the share refused requests while upstreams had free slots.
+    start_factor: float = 4.0
 
 
 class Admitted(NamedTuple):
--- a/standins/caller/_caller.py
+++ b/standins/caller/_caller.py
@@ -44,6 +44,7 @@
     own: bool | None  # Whether an echo belongs to this request; None if it was no echo.
     upstream: str  # Instance that sent the echo; empty if it was no echo.
     error: str  # Error of the client library; empty without one.
+    problem: str = ""  # Type of the problem document; empty if the response was none.
 
 
 class CallRecord(NamedTuple):
@@ -226,13 +227,21 @@
         if error:
             return Try(address, status, outcome, False, None, "", error)
         own, upstream = _check_echo(received, method, path, content, request_id)
-        return Try(address, status, outcome, True, own, upstream, "")
+        return Try(address, status, outcome, True, own, upstream, "", _problem_type(received))
 
 
 def _labelled_body(body: bytes, request_id: str) -> bytes:
     return body + b"\n" + request_id.encode() if request_id else body
 
 
+def _problem_type(received: bytes) -> str:
+    try:
+        document: Any = json.loads(received)
+    except ValueError:
+        return ""
+    return str(document.get("type", "")) if isinstance(document, dict) else ""
+
+
 def _check_echo(
     received: bytes, method: str, path: str, content: bytes, request_id: str
 ) -> tuple[bool | None, str]:
