Tell results of the decisions apart by type

Cause: the dispatcher compared class names, since the decisions did not exist when it was written. Change: isinstance on the types of anviltray.decisions; the fakes of the tests return them too.

--- a/anviltray/callers/_context.py
+++ b/anviltray/callers/_context.py
@@ -1,14 +1,15 @@
 """What the application needs of the node: decision objects, configuration and counters.
 
-The decision objects are given by structure, so this package imports none of them. Results that
-come in several classes (of `AttemptTable.arrive` and `Admission.arrive`) are told apart by class
-name; the names and fields are those of section 2.2 of the design.
+The decision objects are given by structure, so a test can give fakes; their results are the types
+of `anviltray.decisions`.
 """
 
 from collections.abc import Iterable, Sequence
 from typing import Any, Literal, Protocol
 
 from anviltray.decisions import ExchangeOutcome, RoutableSet, RoutableUpstream
+from anviltray.decisions.attempts import Arrival
+from anviltray.decisions.limits import AdmissionResult
 from anviltray.declarations import RetryRule, Service
 from anviltray.messages import Member
 from anviltray.settings import Settings
@@ -88,7 +89,7 @@
 class Admission(Protocol):
     """`decisions.limits.Admission` of one service."""
 
-    def arrive(self, now_s: float, caller: str, deadline_s: float, ticket: Any) -> object:
+    def arrive(self, now_s: float, caller: str, deadline_s: float, ticket: Any) -> AdmissionResult:
         """Returns Admitted, Queued or Refused(retry_after_s)."""
 
     def finished(
@@ -116,7 +117,7 @@
     def prefix(self, now_s: float) -> str:
         """Returns the prefix of new request identifiers."""
 
-    def arrive(self, now_s: float, request_id: str | None) -> object:
+    def arrive(self, now_s: float, request_id: str | None) -> Arrival:
         """Returns Start, InProgress, Replay, Known, Forward, Refuse or Expired."""
 
     def finish(self, now_s: float, request_id: str, outcome: Outcome, response: Any | None) -> None:
--- a/anviltray/callers/_dispatcher.py
+++ b/anviltray/callers/_dispatcher.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-from typing import Any
 
 import logbook
 
@@ -17,7 +16,18 @@
 from anviltray.callers._runner import Runner
 from anviltray.callers._ticket import Ticket, release
 from anviltray.decisions import ExchangeOutcome
-from anviltray.decisions.attempts import AttemptEvent
+from anviltray.decisions.attempts import (
+    Arrival,
+    AttemptEvent,
+    Forward,
+    InProgress,
+    Known,
+    Refuse,
+    RefuseReason,
+    Replay,
+    Start,
+)
+from anviltray.decisions.limits import Admitted, Queued, Refused
 
 _log = logbook.Logger("anviltray.callers")
 
@@ -106,22 +116,20 @@
             return "not-run"
         attempts = self._context.attempts
         now = self._loop.time()
-        verdict: Any = attempts.arrive(now, request_id)
-        kind = type(verdict).__name__
-        if kind == "Start":
+        verdict = attempts.arrive(now, request_id)
+        if isinstance(verdict, Start):
             attempts.finish(now, request_id, "not-run", None)
-        if kind == "Known":
-            outcome: Outcome = verdict.outcome
-            return outcome
-        if kind == "Replay":
+        if isinstance(verdict, Known):
+            return verdict.outcome
+        if isinstance(verdict, Replay):
             return "done"
-        return "not-run" if kind in ("Start", "Refuse") else "unknown"
+        return "not-run" if isinstance(verdict, Start | Refuse) else "unknown"
 
     async def _once(self, call: Call) -> None:
         """Runs an unrepeatable request unless its identifier says that it must not run here."""
         attempts = self._context.attempts
-        verdict: Any = attempts.arrive(self._loop.time(), call.head.request_id)
-        if type(verdict).__name__ != "Start":
+        verdict = attempts.arrive(self._loop.time(), call.head.request_id)
+        if not isinstance(verdict, Start):
             await self._not_here(call, verdict)
             return
         request_id = call.request_id = verdict.request_id
@@ -130,21 +138,20 @@
         finally:
             attempts.finish(self._loop.time(), request_id, call.outcome, call.stored)
 
-    async def _not_here(self, call: Call, verdict: Any) -> None:
+    async def _not_here(self, call: Call, verdict: Arrival) -> None:
         context, exchange = self._context, call.exchange
         close = context.shutting_down
-        kind = type(verdict).__name__
-        if kind == "Replay":
+        if isinstance(verdict, Replay):
             stored = verdict.response
             headers = list(stored.headers)
             add_length(call.head.method, stored.status, headers, len(stored.body))
             call.status, call.decided = stored.status, "done"
             exchange.respond(stored.status, headers, stored.body, close)
-        elif kind == "Forward":
+        elif isinstance(verdict, Forward):
             address = context.node_address(verdict.node, verdict.incarnation)
             await forward(context, call, address)
         else:
-            problem = _verdict_problem(kind, verdict)
+            problem = _verdict_problem(verdict)
             call.status = problem.status
             exchange.respond_problem(problem, call.head.request_id, close)
 
@@ -159,18 +166,17 @@
         admission = self._admissions[name] = context.admission(name)
         ticket = Ticket()
         now = self._loop.time()
-        verdict: Any = admission.arrive(now, call.exchange.caller, call.deadline_s, ticket)
-        kind = type(verdict).__name__
-        if kind == "Refused":
+        verdict = admission.arrive(now, call.exchange.caller, call.deadline_s, ticket)
+        if isinstance(verdict, Refused):
             context.count("refused.admission")
             retry_after_s = max(1, math.ceil(verdict.retry_after_s))
             problem = _OVERLOAD._replace(retry_after_s=retry_after_s)
             call.respond_problem(problem, context.shutting_down)
             return
-        if kind == "Admitted":
+        if isinstance(verdict, Admitted):
             ticket.settle(True)
         try:
-            if kind == "Queued" and not await self._wait(call, ticket):
+            if isinstance(verdict, Queued) and not await self._wait(call, ticket):
                 context.count("refused.queue")
                 call.respond_problem(_QUEUE_TIMEOUT, context.shutting_down)
                 return
@@ -217,15 +223,17 @@
                 ticket.settle(False)
 
 
-def _verdict_problem(kind: str, verdict: Any) -> Problem:
+def _verdict_problem(verdict: Arrival) -> Problem:
     """Returns the problem for a request that the attempt table does not let start."""
-    if kind == "InProgress":
+    if isinstance(verdict, InProgress):
         return _IN_PROGRESS
-    if kind == "Known":
+    if isinstance(verdict, Known):
         detail = "a request with this identifier has ended; its response is not kept"
         return Problem(409, "identifier-used", detail, verdict.outcome)
-    if kind == "Refuse":
-        if "full" in verdict.reason:
-            return Problem(503, "attempts-full", verdict.reason, retry_after_s=1)
-        return Problem(400, "identifier-refused", verdict.reason)
+    if isinstance(verdict, Refuse):
+        if verdict.reason is RefuseReason.FULL:
+            detail = "no memory for another identifier until an epoch ends"
+            return Problem(503, "attempts-full", detail, retry_after_s=1)
+        detail = "the identifier was not issued by a node"
+        return Problem(400, "identifier-refused", detail)
     return _EXPIRED
--- a/anviltray/callers/tests/support.py
+++ b/anviltray/callers/tests/support.py
@@ -8,20 +8,20 @@
 
 from anviltray.callers import bind, create_application, serve
 from anviltray.decisions import RoutableSet, RoutableUpstream
+from anviltray.decisions.attempts import (
+    Forward,
+    InProgress,
+    Known,
+    Refuse,
+    RefuseReason,
+    Replay,
+    Start,
+)
+from anviltray.decisions.limits import Admitted, Queued, Refused
 from anviltray.declarations import build_service
 from anviltray.settings import build_settings
 from anviltray.upstreams import UpstreamClient
 
-# Results of the decision objects; the application tells them apart by these names.
-Admitted = namedtuple("Admitted", "")
-Queued = namedtuple("Queued", "")
-Refused = namedtuple("Refused", "retry_after_s")
-Start = namedtuple("Start", "request_id")
-InProgress = namedtuple("InProgress", "")
-Replay = namedtuple("Replay", "response")
-Known = namedtuple("Known", "outcome")
-Forward = namedtuple("Forward", "node incarnation")
-Refuse = namedtuple("Refuse", "reason")
 Stored = namedtuple("Stored", "status headers body")
 Request = namedtuple("Request", "line headers body")
 Response = namedtuple("Response", "status headers body")
@@ -120,9 +120,9 @@
             request_id = f"{self.prefix(now_s)}auto{next(self.numbers)}"
         node, _, _ = request_id.partition(".")
         if request_id.count(".") < 3:
-            return Refuse("the identifier was not issued by a node")
+            return Refuse(RefuseReason.INVENTED)
         if node != self.node:
-            return Forward(node, "1")
+            return Forward(node, 1)
         row = self.rows.get(request_id)
         if row is None:
             self.rows[request_id] = ("running", None)
