--- a/anviltray/decisions/routing/_baselines.py
+++ b/anviltray/decisions/routing/_baselines.py
@@ -9,9 +9,8 @@
 from anviltray.decisions.routing._interface import NodePlace, routers
 
 
-@routers.register("round_robin")
-class RoundRobinRouter:
-    """Takes the upstreams of a service in turn from a random start."""
+class _Baseline:
+    """What the baselines share."""
 
     def __init__(
         self,
@@ -24,7 +23,7 @@
         link: LinkBudget | None = None,
     ) -> None:
         self._rng = rng
-        self._next: dict[str, int] = {}
+        self._next: dict[str, int] = {}  # Turn of each service, for the round robin.
 
     def connections(self, service: str, address: str) -> int:
         """Returns the connections of an instance: baselines do not share them."""
@@ -33,6 +32,11 @@
     def set_nodes(self, nodes: Sequence[NodePlace]) -> None:
         """Does nothing: every node uses every upstream."""
 
+
+@routers.register("round_robin")
+class RoundRobinRouter(_Baseline):
+    """Takes the upstreams of a service in turn from a random start."""
+
     def choose(
         self,
         routable: RoutableSet,
@@ -55,28 +59,9 @@
 
 
 @routers.register("random")
-class RandomRouter:
+class RandomRouter(_Baseline):
     """Takes any upstream with equal probability."""
 
-    def __init__(
-        self,
-        region: str,
-        zone: str,
-        load_board: LoadBoard,
-        rng: Random,
-        *,
-        node: str = "",
-        link: LinkBudget | None = None,
-    ) -> None:
-        self._rng = rng
-
-    def connections(self, service: str, address: str) -> int:
-        """Returns the connections of an instance: baselines do not share them."""
-        return 400
-
-    def set_nodes(self, nodes: Sequence[NodePlace]) -> None:
-        """Does nothing: every node uses every upstream."""
-
     def choose(
         self,
         routable: RoutableSet,
