Use the one router interface in the caller context

Change: the context imports the protocol of the routing package; the rest is wording. Conclusion: no change of behaviour.

--- a/anviltray/callers/_context.py
+++ b/anviltray/callers/_context.py
@@ -7,9 +7,10 @@
 from collections.abc import Iterable, Sequence
 from typing import Any, Literal, Protocol
 
-from anviltray.decisions import ExchangeOutcome, RoutableSet, RoutableUpstream
+from anviltray.decisions import ExchangeOutcome, RoutableSet
 from anviltray.decisions.attempts import Arrival
 from anviltray.decisions.limits import AdmissionResult
+from anviltray.decisions.routing import Router
 from anviltray.declarations import RetryRule, Service
 from anviltray.messages import Member
 from anviltray.settings import Settings
@@ -65,20 +66,6 @@
         """An exchange has ended."""
 
 
-class Router(Protocol):
-    """A router of the registry `decisions.routing.routers`."""
-
-    def choose(
-        self,
-        routable: RoutableSet,
-        now_s: float,
-        exclude: frozenset[str],
-        unrepeatable: bool,
-        size_bytes: int,
-    ) -> RoutableUpstream | None:
-        """Returns the upstream for one attempt."""
-
-
 class Leaving(Protocol):
     """`decisions.draining.LeavingSet` as far as responses need it."""
 
--- a/anviltray/decisions/routing/_baselines.py
+++ b/anviltray/decisions/routing/_baselines.py
@@ -23,7 +23,7 @@
         link: LinkBudget | None = None,
     ) -> None:
         self._rng = rng
-        self._next: dict[str, int] = {}  # Turn of each service, for the round robin.
+        self._turns: dict[str, int] = {}  # Next position by service; only the round robin uses it.
 
     def connections(self, service: str, address: str) -> int:
         """Returns the connections of an instance: baselines do not share them."""
@@ -47,13 +47,13 @@
     ) -> RoutableUpstream | None:
         """Returns the next upstream that is not excluded."""
         count = len(routable.upstreams)
-        turn = self._next.get(routable.service)
+        turn = self._turns.get(routable.service)
         if turn is None:
             turn = self._rng.randrange(max(1, count))
         for step in range(count):
             upstream = routable.upstreams[(turn + step) % count]
             if upstream.address not in exclude:
-                self._next[routable.service] = (turn + step + 1) % count
+                self._turns[routable.service] = (turn + step + 1) % count
                 return upstream
         return None
 
