--- a/anviltray/callers/__init__.py
+++ b/anviltray/callers/__init__.py
@@ -1,15 +1,29 @@
 """The side of a node that callers connect to."""
 
 from anviltray.callers._application import CallerApplication, create_application
+from anviltray.callers._body import RequestBody
 from anviltray.callers._context import CallerContext, Outcome, StoredResponse
-from anviltray.callers._server import bind, serve
+from anviltray.callers._exchange import CallerExchange
+from anviltray.callers._head import CallerHeaders, HeadReader, RequestHead
+from anviltray.callers._problems import InputError, Problem
+from anviltray.callers._relay import add_length
+from anviltray.callers._server import bind, serve, serve_internal
 
 __all__ = [
     "CallerApplication",
     "CallerContext",
+    "CallerExchange",
+    "CallerHeaders",
+    "HeadReader",
+    "InputError",
     "Outcome",
+    "Problem",
+    "RequestBody",
+    "RequestHead",
     "StoredResponse",
+    "add_length",
     "bind",
     "create_application",
     "serve",
+    "serve_internal",
 ]
--- a/anviltray/callers/_application.py
+++ b/anviltray/callers/_application.py
@@ -131,6 +131,10 @@
         self._own = create_falcon_application(context)
         self.dispatcher = Dispatcher(context)
 
+    def check(self) -> None:
+        """Ends the waits in queues whose deadline has passed."""
+        self.dispatcher.expire_queued()
+
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answers one request."""
         exchange: CallerExchange = scope["anviltray.exchange"]
--- a/anviltray/callers/_head.py
+++ b/anviltray/callers/_head.py
@@ -17,10 +17,16 @@
 REQUEST_ID_LIMIT = 256
 
 _CONTROL = re.compile(r"[\x00-\x1f\x7f]")
-_OWN = frozenset({REQUEST_ID_HEADER, DEADLINE_HEADER, FORWARDED_HEADER})
 _EXPECT = frozenset({b"expect", b"host", b"content-length"})
 
 
+class CallerHeaders(NamedTuple):
+    """Names of the headers that callers use, in lower case."""
+
+    request_id: bytes = REQUEST_ID_HEADER  # Identifier of the request.
+    deadline_ms: bytes = DEADLINE_HEADER  # Milliseconds for which the caller waits.
+
+
 class RequestHead(NamedTuple):
     """Head of a request as the dispatcher needs it."""
 
@@ -38,8 +44,15 @@
 class HeadReader:
     """Reads heads with the limits and header names of one node."""
 
-    def __init__(self, settings: CallerSettings, dialect: Dialect) -> None:
-        self._special = HOP_BY_HOP | _OWN | _EXPECT | dialect.reserved_request_headers
+    def __init__(
+        self,
+        settings: CallerSettings,
+        dialect: Dialect,
+        headers: CallerHeaders = CallerHeaders(),  # noqa: B008  # Immutable.
+    ) -> None:
+        self._headers = headers
+        own = frozenset({*headers, FORWARDED_HEADER})
+        self._special = HOP_BY_HOP | own | _EXPECT | dialect.reserved_request_headers
         self._body_limit = settings.body_limit_bytes
         self._default_deadline_s = settings.default_deadline_s
 
@@ -83,10 +96,10 @@
                 length = -1
             elif name == b"connection":
                 removed |= nominated(value)
-            elif name == DEADLINE_HEADER:
-                deadline_s = _deadline_s(value)
-            elif name == REQUEST_ID_HEADER:
-                request_id = _request_id(value, request_id)
+            elif name == self._headers.deadline_ms:
+                deadline_s = _deadline_s(name, value)
+            elif name == self._headers.request_id:
+                request_id = _request_id(name, value, request_id)
             elif name == FORWARDED_HEADER:
                 forwarded = True
         if not host:
@@ -131,18 +144,18 @@
     )
 
 
-def _deadline_s(value: bytes) -> float:
+def _deadline_s(name: bytes, value: bytes) -> float:
     if not value.isdigit() or len(value) > 12:
-        raise bad_request("Anviltray-Deadline-Ms is not a whole number of milliseconds")
+        raise bad_request(f"{name.decode()} is not a whole number of milliseconds")
     return min(int(value), DEADLINE_LIMIT_MS) / 1000
 
 
-def _request_id(value: bytes, previous: str | None) -> str:
+def _request_id(name: bytes, value: bytes, previous: str | None) -> str:
     if previous is not None:
-        raise bad_request("there are several Anviltray-Request-Id headers")
+        raise bad_request(f"there are several {name.decode()} headers")
     text = value.decode("ascii")
     if not text or len(text) > REQUEST_ID_LIMIT or not text.isprintable() or " " in text:
-        raise bad_request("Anviltray-Request-Id is not an identifier")
+        raise bad_request(f"{name.decode()} is not an identifier")
     return text
 
 
--- a/anviltray/callers/_problems.py
+++ b/anviltray/callers/_problems.py
@@ -16,7 +16,7 @@
     name: str  # Last part of the problem type.
     detail: str  # What happened, in one sentence.
     outcome: Outcome = "not-run"  # Whether the request was run.
-    retry_after_s: int | None = None  # Retry-After in whole seconds.
+    retry_after_s: float | None = None  # Retry-After in seconds.
     close: bool = False  # The connection cannot be used afterwards.
 
 
@@ -50,5 +50,5 @@
         (OUTCOME_HEADER, problem.outcome.encode()),
     ]
     if problem.retry_after_s is not None:
-        headers.append((b"retry-after", str(problem.retry_after_s).encode()))
+        headers.append((b"retry-after", f"{problem.retry_after_s:g}".encode()))
     return headers
--- a/anviltray/callers/_server.py
+++ b/anviltray/callers/_server.py
@@ -3,12 +3,12 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
+from typing import Any, Protocol
 
 import logbook
 import uvicorn
 
-from anviltray.callers._application import CallerApplication
 from anviltray.callers._protocol import CallerProtocol, protocol_class
 from anviltray.settings import CallerSettings
 
@@ -19,10 +19,22 @@
 BACKLOG = 2048
 
 
+class Application(Protocol):
+    """ASGI application that answers callers."""
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answers one request."""
+
+    def check(self) -> None:
+        """Ends what has waited too long; called several times a second."""
+
+
 class _Server(uvicorn.Server):
     """uvicorn's server without its signal handlers, which belong to the node."""
 
-    def __init__(self, config: uvicorn.Config, on_started: Callable[[], None]) -> None:
+    def __init__(
+        self, config: uvicorn.Config, on_started: Callable[[], None] = lambda: None
+    ) -> None:
         super().__init__(config)
         self._on_started = on_started
 
@@ -56,7 +68,7 @@
 
 
 async def serve(
-    application: CallerApplication,
+    application: Application,
     settings: CallerSettings,
     listener: socket.socket,
     stop: asyncio.Event,
@@ -100,7 +112,28 @@
         await asyncio.gather(checks, stopping, serving, return_exceptions=True)
 
 
-async def _check(server: uvicorn.Server, application: CallerApplication) -> None:
+async def serve_internal(
+    application: Any, listeners: Sequence[socket.socket], stop: asyncio.Event
+) -> None:
+    """Serves an application without the rules for callers until `stop` is set."""
+    config = uvicorn.Config(
+        application,
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+    )
+    server = _Server(config)
+    serving = asyncio.create_task(server.serve(list(listeners)))
+    await stop.wait()
+    server.should_exit = True
+    await serving
+
+
+async def _check(server: uvicorn.Server, application: Application) -> None:
     loop = asyncio.get_running_loop()
     while True:
         await asyncio.sleep(CHECK_INTERVAL_S)
@@ -109,7 +142,7 @@
             for connection in list(server.server_state.connections):
                 if isinstance(connection, CallerProtocol):
                     connection.check_times(now)
-            application.dispatcher.expire_queued()
+            application.check()
         except Exception:
             # Without these checks, slow callers would hold connections for ever.
             _log.exception("the check of time limits failed")
--- /dev/null
+++ b/anviltray/decisions/instances/__init__.py
@@ -0,0 +1,5 @@
+"""Which registered instances may get requests."""
+
+from anviltray.decisions.instances._directory import InstanceDirectory
+
+__all__ = ["InstanceDirectory"]
--- /dev/null
+++ b/anviltray/decisions/placement/_placement.py
@@ -0,0 +1,182 @@
+"""Chooses the instance for a request, or turns the request away.
+
+Load pattern: a few slots per instance for many hosts, a zone whose share of a small service is
+full or sick, and bursts above the capacity of all instances. Leaving the zone costs bytes, waiting
+costs the caller time.
+"""
+
+from collections.abc import Sequence
+from random import Random
+from typing import NamedTuple, Protocol
+
+from anviltray.decisions.placement._evidence import (
+    SUSPECT_SCORE,
+    EvidenceBoard,
+    InstanceEvidence,
+)
+from anviltray.declarations import Instance
+
+# Costs in units of one mean service time: an instance that is merely busy, the own region and other
+# regions instead of the own availability zone.
+_BUSY_COST = 0.3
+_DISTANCE_COST = (0.0, 0.3, 0.7)
+# Cost of an instance without recent proof for a request that must not be repeated.
+_UNPROVED_COST = 0.35
+_PROOF_LIFETIME_S = 2.0
+_WARMING_SPEED = 0.5  # An instance works at this speed after its start.
+# Share of idempotent requests that test a suspected instance, and the pause between two tests.
+_EXPLORE_SHARE = 0.3
+_EXPLORE_PAUSE_S = 0.25
+# Part of the time left that the expected response time may take, by priority: when there is not
+# room for all, the less urgent requests are turned away first.
+_PATIENCE = (0.9, 0.75, 0.6)
+_LEAST_RETRY_AFTER_S = 0.2
+_RETRY_SPREAD = 0.5  # Retries are spread over this part of the delay, so that they do not collide.
+
+
+class Place(NamedTuple):
+    """Where this host is."""
+
+    region: str  # Region of the host.
+    zone: str  # Availability zone of the host.
+
+
+class PlacementRequest(NamedTuple):
+    """What the choice depends on."""
+
+    service: str  # Service name.
+    idempotent: bool  # Whether the request may be repeated.
+    priority: int  # 0 is the most urgent.
+    remaining_s: float  # Time until the caller gives up.
+    exclude: frozenset[str] = frozenset()  # Instances that were tried.
+
+
+class Placed(NamedTuple):
+    """The request goes to an instance."""
+
+    instance: Instance  # Where it goes.
+    load: float  # Requests per slot there, with this one.
+    suspicion: float  # Score of the instance.
+    proof_age_s: float  # Age of the newest accepted request there.
+    explores: bool  # It tests a suspected instance.
+
+
+class TurnedAway(NamedTuple):
+    """The request cannot be served in time."""
+
+    retry_after_s: float  # When there should be room.
+    expected_s: float  # Expected response time at the best instance.
+    candidates: int  # Instances that were considered.
+
+
+class WarmthView(Protocol):
+    """Tells whether an instance is still slow after its start."""
+
+    def warming(self, now_s: float, key: str) -> bool:
+        """See `InstanceDirectory.warming`."""
+
+
+class _Candidate(NamedTuple):
+    instance: Instance
+    evidence: InstanceEvidence
+    load: float  # Requests per slot at normal speed, with this one.
+    cost: float  # Load, distance and doubt in units of one mean service time.
+
+
+class Placement:
+    """Placement for one host."""
+
+    def __init__(
+        self,
+        place: Place,
+        zone_regions: dict[str, str],
+        board: EvidenceBoard,
+        warmth: WarmthView,
+        rng: Random,
+    ) -> None:
+        self._place = place
+        self._zone_regions = zone_regions
+        self._board = board
+        self._warmth = warmth
+        self._rng = rng
+
+    def choose(
+        self, now_s: float, request: PlacementRequest, instances: Sequence[Instance]
+    ) -> Placed | TurnedAway:
+        """Returns where a request goes, of the usable `instances` of its service."""
+        candidates = [
+            self._candidate(now_s, request, instance)
+            for instance in instances
+            if instance.id not in request.exclude
+        ]
+        if not candidates:
+            return TurnedAway(self._retry_after_s(_LEAST_RETRY_AFTER_S), 0.0, 0)
+        sound: list[_Candidate] = []
+        suspected: list[_Candidate] = []
+        for candidate in candidates:
+            doubtful = candidate.evidence.suspicion(now_s) >= SUSPECT_SCORE
+            (suspected if doubtful else sound).append(candidate)
+        if request.idempotent and suspected and self._rng.random() < _EXPLORE_SHARE:
+            tested = self._explore(now_s, suspected)
+            if tested is not None:
+                return _placed(now_s, tested, explores=True)
+        # If everything is suspected, the least suspected is better than nothing.
+        best = (
+            min(sound, key=lambda candidate: candidate.cost)
+            if sound
+            else min(suspected, key=lambda item: item.evidence.suspicion(now_s) + item.cost)
+        )
+        expected_s = self._expected_s(request.service, best.load)
+        if expected_s > request.remaining_s * _PATIENCE[min(request.priority, 2)]:
+            excess_s = expected_s - request.remaining_s * _PATIENCE[min(request.priority, 2)]
+            return TurnedAway(self._retry_after_s(excess_s), expected_s, len(candidates))
+        return _placed(now_s, best, explores=False)
+
+    def _candidate(self, now_s: float, request: PlacementRequest, instance: Instance) -> _Candidate:
+        evidence = self._board.of(instance.id)
+        slots = float(instance.slots)
+        if self._warmth.warming(now_s, instance.id):
+            slots *= _WARMING_SPEED
+        load = (evidence.total_outstanding + 1) / slots
+        cost = max(0.0, load - 1) + _BUSY_COST * load + _DISTANCE_COST[self._distance(instance)]
+        if not request.idempotent and now_s - evidence.proved_s > _PROOF_LIFETIME_S:
+            cost += _UNPROVED_COST
+        # The smallest differences must not decide, or hosts with equal views would choose alike.
+        return _Candidate(instance, evidence, load, cost + 0.05 * self._rng.random())
+
+    def _distance(self, instance: Instance) -> int:
+        if instance.zone == self._place.zone:
+            return 0
+        return 1 if self._zone_regions.get(instance.zone) == self._place.region else 2
+
+    def _explore(self, now_s: float, suspected: Sequence[_Candidate]) -> _Candidate | None:
+        due = [
+            item
+            for item in suspected
+            if item.instance.zone == self._place.zone
+            and item.load <= 1
+            and now_s - max(item.evidence.explored_s, item.evidence.failed_s) > _EXPLORE_PAUSE_S
+        ]
+        if not due:
+            return None
+        tested = min(due, key=lambda item: item.evidence.failed_s)
+        tested.evidence.explored_s = now_s
+        return tested
+
+    def _expected_s(self, service: str, load: float) -> float:
+        return self._board.mean_latency_s(service) * max(1.0, load)
+
+    def _retry_after_s(self, delay_s: float) -> float:
+        delay_s = max(_LEAST_RETRY_AFTER_S, delay_s)
+        return delay_s * (1 + _RETRY_SPREAD * self._rng.random())
+
+
+def _placed(now_s: float, candidate: _Candidate, *, explores: bool) -> Placed:
+    evidence = candidate.evidence
+    return Placed(
+        candidate.instance,
+        candidate.load,
+        evidence.suspicion(now_s),
+        now_s - evidence.proved_s,
+        explores,
+    )
--- /dev/null
+++ b/anviltray/edge/_daemon.py
@@ -0,0 +1,96 @@
+"""Runs one edge host until it is told to stop."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+from pathlib import Path
+
+import defopt
+import logbook
+
+from anviltray.edge._edge import Edge
+from anviltray.platform import HostSettingsError, load_host_settings, names
+from anviltray.settings import HostSettings
+from anviltray.telemetry import set_up_bounded_logs
+
+_log = logbook.Logger("anviltray.edge")
+
+EXIT_SETTINGS = 2  # The settings are wrong.
+EXIT_ADDRESS = 3  # An address cannot be bound.
+# A host answers fewer than 20 requests a second; the rest is room for bursts and changes.
+_LOG_LINES_S = 200.0
+_SETTINGS_INTERVAL_S = 1.0  # Pause between two looks at the settings file.
+
+
+def edge(settings: Path | None = None, *, check: bool = False) -> int:
+    """Serve callers on one host of the platform.
+
+    SIGTERM shuts down gracefully; SIGHUP and a changed file reload the settings.
+
+    :param settings: TOML file of the platform; by default the one that the environment names.
+    :param check: Only validate the settings.
+    """
+    path = settings or Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
+    try:
+        loaded = load_host_settings(path)
+    except HostSettingsError as error:
+        print(f"anviltray edge: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
+    if check:
+        return 0
+    set_up_bounded_logs("info", _LOG_LINES_S)
+    try:
+        # Named explicitly, since uvloop, where it is installed, would use io_uring.
+        with asyncio.Runner(loop_factory=asyncio.SelectorEventLoop) as runner:
+            return runner.run(_run(path, loaded))
+    except OSError as error:
+        _log.error("cannot start: {}", error)
+        return EXIT_ADDRESS
+
+
+async def _run(path: Path, settings: HostSettings) -> int:
+    host = Edge(settings)
+    loop = asyncio.get_running_loop()
+    stopped = asyncio.Event()
+    changed = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, changed.set)
+    await host.start()
+    watching = asyncio.create_task(_watch(path, host, changed))
+    await stopped.wait()
+    watching.cancel()
+    await host.stop()
+    return 0
+
+
+async def _watch(path: Path, host: Edge, changed: asyncio.Event) -> None:
+    """Reloads the settings when their file has changed, with or without a signal."""
+    known = _content(path)
+    while True:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(changed.wait(), _SETTINGS_INTERVAL_S)
+        signalled = changed.is_set()
+        changed.clear()
+        content = _content(path)
+        if content == known and not signalled:
+            continue
+        known = content
+        try:
+            host.reload(load_host_settings(path))
+        except HostSettingsError as error:
+            _log.error("the changed settings are not used: {}", error)
+
+
+def _content(path: Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError:
+        return b""
+
+
+def main() -> None:
+    """Entry point of the program."""
+    sys.exit(defopt.run(edge, argparse_kwargs={"prog": "anviltray.edge"}))
--- /dev/null
+++ b/anviltray/edge/_edge.py
@@ -0,0 +1,261 @@
+"""Assembly of one edge host."""
+
+import asyncio
+import random
+import secrets
+from collections.abc import Coroutine
+from typing import Any
+
+import logbook
+
+from anviltray.callers import CallerHeaders, bind, serve, serve_internal
+from anviltray.declarations import RoutingConfiguration
+from anviltray.edge._dispatcher import EdgeDispatcher
+from anviltray.edge._metrics import EdgeMetrics
+from anviltray.edge._pages import (
+    DirectoryPage,
+    MetricsPage,
+    ReadyPage,
+    SnapshotPage,
+    create_pages,
+)
+from anviltray.edge._state import EdgeState
+from anviltray.messages import HostBeacon, HostPlace, ZoneObservations
+from anviltray.platform import KeyedStore, names
+from anviltray.settings import HostSettings, build_caller_settings, build_upstream_settings
+from anviltray.upstreams import UpstreamClient
+from anviltray.zone import StoreFollower, ZoneExchange, fetch_snapshot
+
+_log = logbook.Logger("anviltray.edge")
+
+# Callers hold a list this long; a host that leaves is out of use after it.
+_ANSWER_LIFETIME_S = 2.0
+_DIRECTORY_ADDRESSES = 64  # More addresses in one answer are not read.
+# News about instances is collected this long before it goes to the zone; failures go at once.
+_OBSERVATION_INTERVAL_S = 0.04
+_STORE_TIMEOUT_S = 1.5
+_CONNECT_TIMEOUT_S = 0.4  # The longest round trip is 16 ms; a dark instance must not cost more.
+# Instances close a connection that is idle for 10 s, and the request that crosses is lost.
+_IDLE_LIMIT_S = 6.0
+_UNREPEATABLE_IDLE_LIMIT_S = 4.0
+_CALLER_IDLE_S = 20.0  # Callers reuse connections for up to 12 s.
+_INSTANCE_CONNECTIONS = 390
+# Callers with an older answer still arrive after the signal to stop; the rest of the grace period
+# is for requests in flight, less this margin.
+_LINGER_SHARE = 0.4
+_STOP_MARGIN_S = 0.4
+METRICS_PORT = 9464
+
+
+class Edge:
+    """One edge host: all tasks and the state they own.
+
+    Example: `edge = Edge(load_host_settings(path))`, `await edge.start()`, `await edge.stop()`.
+    """
+
+    def __init__(self, settings: HostSettings) -> None:
+        self.settings = settings
+        rng = random.Random(secrets.randbits(64))
+        self.metrics = EdgeMetrics()
+        upstreams = UpstreamClient(_upstream_settings(), settings.address)
+        self.state = EdgeState(settings, upstreams, rng)
+        place = HostPlace(settings.address, settings.zone)
+        self.exchange = ZoneExchange(place, settings.first_internal_port, self._beacon)
+        self.store = KeyedStore(settings.store_address, _STORE_TIMEOUT_S)
+        self.follower = StoreFollower(
+            place, self.store, self.exchange, self.state.directory, self._fetch, rng
+        )
+        self._incarnation = secrets.randbits(63)
+        self._sequence = 0
+        self._listening = False
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._stop_callers = asyncio.Event()
+        self._stop_pages = asyncio.Event()
+        self._serving: list[asyncio.Task[Any]] = []
+        self.metrics.attach("zone", lambda: self.exchange.counters)
+        self.metrics.attach("store", lambda: self.follower.counters)
+        self.exchange.on(ZoneObservations, self._take_observations)
+        self.exchange.on_silent(self.state.board.peer_gone)
+        self.follower.on_configuration(self._configure)
+
+    async def start(self) -> None:
+        """Binds all addresses and starts the tasks; raises OSError if an address is in use."""
+        settings = self.settings
+        callers = bind(settings.caller_address)
+        addresses = {
+            settings.readiness_address,
+            settings.directory_address,
+            f"{settings.address}:{settings.first_internal_port}",
+            f"{settings.address}:{METRICS_PORT}",
+        }
+        listeners = [bind(address) for address in sorted(addresses)]
+        await self.exchange.start()
+        caller_settings = build_caller_settings(
+            {"answer_lifetime_s": _CALLER_IDLE_S, "head_timeout_s": _CALLER_IDLE_S}
+        )
+        dispatcher = EdgeDispatcher(
+            self.state,
+            self.metrics,
+            caller_settings,
+            CallerHeaders(names.REQUEST_ID.lower().encode(), names.DEADLINE_MS.lower().encode()),
+            names.EXPECTED_INSTANCE,
+            names.SEAL,
+        )
+        pages = create_pages(
+            DirectoryPage(self.entry_addresses, _ANSWER_LIFETIME_S),
+            ReadyPage(self.not_ready),
+            SnapshotPage(self.follower.snapshot),
+            MetricsPage(self.metrics),
+        )
+        self._serving = [
+            asyncio.create_task(
+                serve(dispatcher, caller_settings, callers, self._stop_callers, self._started)
+            ),
+            asyncio.create_task(serve_internal(pages, listeners, self._stop_pages)),
+        ]
+        self.exchange.ask_hosts(settings.seed_addresses)
+        for task in (self.exchange.run(), self.follower.run(), self._send_observations()):
+            self._tasks.append(asyncio.create_task(_guard(task)))
+        _log.info(
+            "started",
+            extra={
+                "node": settings.node,
+                "zone": settings.zone,
+                "callers": settings.caller_address,
+            },
+        )
+
+    async def stop(self) -> None:
+        """Leaves without cutting a request.
+
+        The host is no longer named to callers and not ready. It serves those that still hold its
+        address, then closes its listener, finishes what is in flight and ends.
+        """
+        loop = asyncio.get_running_loop()
+        grace_s = self.settings.guarantees.grace_s
+        end_s = loop.time() + grace_s - _STOP_MARGIN_S
+        self.state.shutting_down = True
+        self.exchange.send_beacon()
+        _log.info("stopping", extra={"node": self.settings.node, "grace_s": grace_s})
+        await asyncio.sleep(grace_s * _LINGER_SHARE)
+        self._stop_callers.set()
+        await asyncio.wait(self._serving[:1], timeout=max(0.0, end_s - loop.time()))
+        await self.close()
+        _log.info("stopped", extra={"node": self.settings.node})
+
+    async def close(self) -> None:
+        """Ends all tasks at once."""
+        self._stop_callers.set()
+        self._stop_pages.set()
+        for task in (*self._tasks, *self._serving):
+            task.cancel()
+        await asyncio.gather(*self._tasks, *self._serving, return_exceptions=True)
+        self.exchange.close()
+        await self.state.upstreams.close()
+        await self.store.close()
+
+    def reload(self, settings: HostSettings) -> None:
+        """Takes changed settings; addresses stay as they are until the next start."""
+        changed = [
+            name
+            for name in HostSettings._fields
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        self.settings = settings
+        self.state.settings = settings
+        _log.info("settings reloaded", extra={"changed": changed})
+
+    def not_ready(self) -> tuple[str, ...]:
+        """Returns why this host takes no requests, nothing if it does."""
+        reasons = []
+        if self.state.shutting_down:
+            reasons.append("the host is stopping")
+        if not self._listening:
+            reasons.append("the host is starting")
+        if not self.follower.loaded:
+            reasons.append("the configuration or the instances are unknown")
+        return tuple(reasons)
+
+    def entry_addresses(self) -> tuple[str, ...]:
+        """Returns the addresses of the ready hosts of this zone."""
+        addresses = [
+            host.beacon.caller_address
+            for host in self.exchange.alive()
+            if host.beacon.state == "ready"
+        ]
+        if not self.not_ready():
+            addresses.append(self.settings.caller_address)
+        return tuple(addresses[:_DIRECTORY_ADDRESSES])
+
+    def _started(self) -> None:
+        self._listening = True
+
+    def _configure(self, configuration: RoutingConfiguration) -> None:
+        self.state.configure(configuration)
+
+    def _beacon(self, answer: bool) -> HostBeacon:
+        self._sequence += 1
+        settings = self.settings
+        reasons = self.not_ready()
+        state = "leaving" if self.state.shutting_down else "starting" if reasons else "ready"
+        return HostBeacon(
+            host=settings.address,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            zone=settings.zone,
+            caller_address=settings.caller_address,
+            state=state,
+            reaches_store=self.follower.reaches_store,
+            configuration_version=self.follower.version,
+            instances_offset=self.follower.instances_offset,
+            read_age_s=self.follower.read_age_s(),
+            answer=answer,
+        )
+
+    async def _fetch(self, host: str) -> Any:
+        return await fetch_snapshot(f"{host}:{self.settings.first_internal_port}")
+
+    def _take_observations(self, message: ZoneObservations) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.state.board.peer_observations(now_s, message.host, message.observations)
+
+    async def _send_observations(self) -> None:
+        board = self.state.board
+        loop = asyncio.get_running_loop()
+        cleaned_s = loop.time()
+        while True:
+            await asyncio.sleep(_OBSERVATION_INTERVAL_S)
+            observations = board.take_observations()
+            if observations:
+                self.exchange.send_to_zone(ZoneObservations(self.settings.address, observations))
+            if loop.time() - cleaned_s > 1.0:
+                cleaned_s = loop.time()
+                board.keep_only(self.state.directory.instances)
+
+
+def _upstream_settings() -> Any:
+    return build_upstream_settings(
+        {
+            "connect_timeout_s": _CONNECT_TIMEOUT_S,
+            "idle_limit_s": _IDLE_LIMIT_S,
+            "unrepeatable_idle_limit_s": _UNREPEATABLE_IDLE_LIMIT_S,
+            "instance_connections": _INSTANCE_CONNECTIONS,
+            "deadline_header": names.DEADLINE_MS,
+            "request_id_header": names.REQUEST_ID,
+            "shed_header": names.NOT_RUN,
+            "refusal_statuses": names.REFUSAL_STATUSES,
+            "accept_unframed": True,
+            "drain_header": "",
+            "load_header": "",
+            "cold_header": "",
+        }
+    )
+
+
+async def _guard(task: Coroutine[Any, Any, None]) -> None:
+    """Logs a task that ends by an error, which would otherwise stay unseen until the shutdown."""
+    try:
+        await task
+    except Exception:
+        _log.exception("a task of the host has failed")
+        raise
--- /dev/null
+++ b/anviltray/edge/_metrics.py
@@ -0,0 +1,69 @@
+"""Counters and latency histograms of one edge host."""
+
+from collections.abc import Callable, Mapping
+
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
+
+# Upper bounds in seconds around the target latencies of 0.6 to 1.5 s.
+_LATENCY_BOUNDS_S = (0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 1.6, 2.4, 4.0, 8.0)
+
+
+class _Attached(Collector):
+    """Exposes counters that other objects keep."""
+
+    def __init__(self) -> None:
+        self.sources: dict[str, Callable[[], Mapping[str, int]]] = {}
+
+    def collect(self) -> list[CounterMetricFamily]:
+        """Returns one family for each source."""
+        families = []
+        for name, source in self.sources.items():
+            family = CounterMetricFamily(f"anviltray_{name}", f"Events of {name}", labels=["event"])
+            for event, count in source().items():
+                family.add_metric([event], count)
+            families.append(family)
+        return families
+
+
+class EdgeMetrics:
+    """Metrics in the text format of Prometheus."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._requests = Counter(
+            "anviltray_requests",
+            "Answered requests by service and status; status 0 means that the caller left",
+            ["service", "status"],
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            "anviltray_request_seconds",
+            "Time from the head of a request to its answer",
+            ["service"],
+            buckets=_LATENCY_BOUNDS_S,
+            registry=self._registry,
+        )
+        self._events = Counter(
+            "anviltray_events", "Other events by name", ["event"], registry=self._registry
+        )
+        self._attached = _Attached()
+        self._registry.register(self._attached)
+
+    def answered(self, service: str, status: int, latency_s: float) -> None:
+        """Counts an answered request."""
+        self._requests.labels(service, str(status)).inc()
+        self._latency.labels(service).observe(latency_s)
+
+    def count(self, event: str) -> None:
+        """Counts an event."""
+        self._events.labels(event).inc()
+
+    def attach(self, name: str, source: Callable[[], Mapping[str, int]]) -> None:
+        """Includes the counters of another object."""
+        self._attached.sources[name] = source
+
+    def text(self) -> bytes:
+        """Returns the page for the collector of metrics."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/anviltray/edge/_send.py
@@ -0,0 +1,87 @@
+"""One send of a request to an instance: its evidence and its result."""
+
+import asyncio
+from typing import NamedTuple
+
+from anviltray.decisions import ExchangeOutcome
+from anviltray.decisions.placement import ACCEPTED_AFTER_S, EvidenceBoard, Placed
+
+
+class SendRecorder:
+    """Observer of one exchange that reports to the evidence board, each phase once."""
+
+    __slots__ = (
+        "_accepted",
+        "_board",
+        "_ended",
+        "_loop",
+        "_service",
+        "_timer",
+        "placed",
+        "started_s",
+        "written",
+    )
+
+    def __init__(self, board: EvidenceBoard, service: str, placed: Placed) -> None:
+        self._board = board
+        self._service = service
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+        self._accepted = False
+        self._ended = False
+        self.placed = placed
+        self.written = False  # False as long as it is certain that no byte was written.
+        self.started_s = self._loop.time()
+        board.started(placed.instance.id)
+
+    def connection(self, fresh: bool) -> None:
+        """A connection is chosen, or a new one is about to be opened."""
+
+    def writing(self) -> None:
+        """The first byte of the request is about to be written."""
+        self.written = True
+        self.started_s = self._loop.time()
+        self._timer = self._loop.call_later(ACCEPTED_AFTER_S, self.accepted)
+
+    def first_byte(self) -> None:
+        """The head of the response has arrived."""
+
+    def accepted(self) -> None:
+        """The instance works on the request or has answered it."""
+        if not self._accepted and not self._ended:
+            self._accepted = True
+            self._board.accepted(self._loop.time(), self.placed.instance.id, self.started_s)
+
+    def ended(self, outcome: ExchangeOutcome) -> None:
+        """Reports the end; further calls change nothing."""
+        if self._ended:
+            return
+        if outcome is ExchangeOutcome.OK:
+            self.accepted()
+        self._ended = True
+        if self._timer is not None:
+            self._timer.cancel()
+        now_s = self._loop.time()
+        self._board.ended(
+            now_s, self.placed.instance.id, self._service, outcome, now_s - self.started_s
+        )
+
+
+class WholeResponse(NamedTuple):
+    """A response that was received to its end."""
+
+    status: int  # HTTP status of the instance.
+    headers: list[tuple[bytes, bytes]]  # Names in lower case, without fields of the connection.
+    body: bytes  # Whole body.
+
+
+class NotRun(NamedTuple):
+    """It is certain that the instance has not run the request."""
+
+    reason: str  # "refused", "unreachable", "misdirected" or "no-connection".
+
+
+class Unknown(NamedTuple):
+    """The request may have run, and no whole response came."""
+
+    reason: str  # "broken" or "invalid".
--- /dev/null
+++ b/anviltray/edge/_state.py
@@ -0,0 +1,83 @@
+"""What the request path of an edge host uses."""
+
+from collections.abc import Mapping
+from random import Random
+
+from anviltray.decisions.instances import InstanceDirectory
+from anviltray.decisions.placement import (
+    EvidenceBoard,
+    Place,
+    Placement,
+    WeightedChoice,
+)
+from anviltray.decisions.retries import RetryBudget
+from anviltray.declarations import PrefixIndex, PrefixRoute, RoutingConfiguration
+from anviltray.settings import HostSettings
+from anviltray.upstreams import UpstreamClient
+
+# Part of the fleet's retry share that a host uses of what its own requests earn. The rest covers
+# requests that are counted in another window than their retry.
+_SHARE_USED = 0.9
+
+
+class EdgeState:
+    """Decision objects and configuration of one host."""
+
+    def __init__(self, settings: HostSettings, upstreams: UpstreamClient, rng: Random) -> None:
+        self.settings = settings
+        self.upstreams = upstreams
+        self.directory = InstanceDirectory()
+        self.board = EvidenceBoard()
+        self.placement = Placement(
+            Place(settings.region, settings.zone),
+            dict(settings.zone_regions),
+            self.board,
+            self.directory,
+            rng,
+        )
+        self.configuration: RoutingConfiguration | None = None
+        self.shutting_down = False
+        self._routes = PrefixIndex()
+        self._rng = rng
+        self._shares: dict[str, WeightedChoice] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def configure(self, configuration: RoutingConfiguration) -> None:
+        """Puts a configuration in force."""
+        self.configuration = configuration
+        self._routes = PrefixIndex(configuration.routes)
+        known = self._shares
+        self._shares = {}
+        for route in configuration.routes:
+            choice = known.get(route.name)
+            if choice is None or choice.destinations != route.destinations:
+                choice = WeightedChoice(route.destinations, self._rng.random())
+            self._shares[route.name] = choice
+
+    def find_route(self, host: str, path: str) -> PrefixRoute | None:
+        """Returns the route of a request."""
+        return self._routes.find(host, path)
+
+    def choose_service(self, route: PrefixRoute) -> str:
+        """Returns the service for the next request of a route."""
+        return self._shares[route.name].choose()
+
+    def retry_budget(self, service: str) -> RetryBudget:
+        """Returns this host's part of the retry budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            guarantees = self.settings.guarantees
+            budget = self._budgets[service] = RetryBudget(
+                share=guarantees.retry_share * _SHARE_USED, window_s=guarantees.retry_window_s
+            )
+        return budget
+
+    def connection_limits(self, hosts: int) -> Mapping[str, int]:
+        """Returns the connections that this host may open to one instance of each service."""
+        configuration = self.configuration
+        if configuration is None:
+            return {}
+        return {
+            name: max(1, service.connection_limit // max(1, hosts))
+            for name, service in configuration.services.items()
+        }
--- a/anviltray/messages/_generated.py
+++ b/anviltray/messages/_generated.py
@@ -115,6 +115,55 @@
     )
 
 
+class KeyedChange(NamedTuple):
+    """One record of a topic whose records have keys."""
+
+    key: str  # Key of the record.
+    payload: bytes  # Value; empty if the key was removed.
+
+
+def _decode_keyed_change(data: Any) -> KeyedChange:
+    items = check_arity("KeyedChange", data, 2)
+    return KeyedChange(
+        key=take_str(items[0]),
+        payload=take_bytes(items[1]),
+    )
+
+
+class HostPlace(NamedTuple):
+    """One host of the fleet."""
+
+    address: str  # IP address of the host.
+    zone: str  # Availability zone of the host.
+
+
+def _decode_host_place(data: Any) -> HostPlace:
+    items = check_arity("HostPlace", data, 2)
+    return HostPlace(
+        address=take_str(items[0]),
+        zone=take_str(items[1]),
+    )
+
+
+class InstanceObservation(NamedTuple):
+    """What one host has seen of one instance since its last report."""
+
+    instance: str  # Instance id.
+    outstanding: int  # Requests in flight from the sending host.
+    failures: float  # Weight of the failures since the last report.
+    proofs: int  # Requests accepted since the last report.
+
+
+def _decode_instance_observation(data: Any) -> InstanceObservation:
+    items = check_arity("InstanceObservation", data, 4)
+    return InstanceObservation(
+        instance=take_str(items[0]),
+        outstanding=take_int(items[1]),
+        failures=take_float(items[2]),
+        proofs=take_int(items[3]),
+    )
+
+
 class ServiceCounters(NamedTuple):
     """Requests of one service at one node since its process started."""
 
@@ -643,6 +692,120 @@
     )
 
 
+class HostBeacon(NamedTuple):
+    """Datagram by which the hosts of an availability zone know each other."""
+
+    host: str  # IP address of the sender.
+    incarnation: int  # Random number drawn when the process starts.
+    sequence: int  # Rises with each beacon of that incarnation.
+    zone: str  # Availability zone of the sender.
+    caller_address: str  # IP:port that callers use.
+    state: str  # starting, ready or leaving.
+    reaches_store: bool  # Its last call to the store succeeded.
+    configuration_version: int  # Configuration in force or -1.
+    instances_offset: int  # Offset up to which it knows the registrations or -1.
+    read_age_s: float  # Age of the newest read of the store that it knows of.
+    answer: bool  # The receiver should send its own beacon at once.
+
+
+def _decode_host_beacon(data: Any) -> HostBeacon:
+    items = check_arity("HostBeacon", data, 11)
+    return HostBeacon(
+        host=take_str(items[0]),
+        incarnation=take_int(items[1]),
+        sequence=take_int(items[2]),
+        zone=take_str(items[3]),
+        caller_address=take_str(items[4]),
+        state=take_str(items[5]),
+        reaches_store=take_bool(items[6]),
+        configuration_version=take_int(items[7]),
+        instances_offset=take_int(items[8]),
+        read_age_s=take_float(items[9]),
+        answer=take_bool(items[10]),
+    )
+
+
+class ZoneObservations(NamedTuple):
+    """Datagram with what one host has seen of the instances."""
+
+    host: str  # IP address of the sender.
+    observations: tuple[InstanceObservation, ...]  # Instances with news.
+
+
+def _decode_zone_observations(data: Any) -> ZoneObservations:
+    items = check_arity("ZoneObservations", data, 2)
+    return ZoneObservations(
+        host=take_str(items[0]),
+        observations=take_list(items[1], _decode_instance_observation),
+    )
+
+
+class InstanceChanges(NamedTuple):
+    """Datagram with consecutive registrations that one host has read from the store."""
+
+    from_offset: int  # Offset of the first record.
+    next_offset: int  # Offset after the last record.
+    since_return_s: float  # Time since the store came back from an outage; inf without one.
+    changes: tuple[KeyedChange, ...]  # Changed keys.
+
+
+def _decode_instance_changes(data: Any) -> InstanceChanges:
+    items = check_arity("InstanceChanges", data, 4)
+    return InstanceChanges(
+        from_offset=take_int(items[0]),
+        next_offset=take_int(items[1]),
+        since_return_s=take_float(items[2]),
+        changes=take_list(items[3], _decode_keyed_change),
+    )
+
+
+class HostsRequest(NamedTuple):
+    """Datagram by which a host that cannot read the store asks for the hosts of the fleet."""
+
+    host: str  # IP address of the sender.
+    zone: str  # Availability zone of the sender.
+
+
+def _decode_hosts_request(data: Any) -> HostsRequest:
+    items = check_arity("HostsRequest", data, 2)
+    return HostsRequest(
+        host=take_str(items[0]),
+        zone=take_str(items[1]),
+    )
+
+
+class HostList(NamedTuple):
+    """Answer to HostsRequest."""
+
+    hosts: tuple[HostPlace, ...]  # Known hosts.
+
+
+def _decode_host_list(data: Any) -> HostList:
+    items = check_arity("HostList", data, 1)
+    return HostList(
+        hosts=take_list(items[0], _decode_host_place),
+    )
+
+
+class StoreSnapshot(NamedTuple):
+    """What a host knows of the store; fetched by hosts that are behind."""
+
+    configuration_version: int  # Configuration in force or -1.
+    configuration: bytes  # Record of the configuration.
+    instances_offset: int  # Offset up to which the registrations are known or -1.
+    instances: tuple[KeyedChange, ...]  # Registrations by key.
+
+
+def _decode_store_snapshot(data: Any) -> StoreSnapshot:
+    items = check_arity("StoreSnapshot", data, 4)
+    return StoreSnapshot(
+        configuration_version=take_int(items[0]),
+        configuration=take_bytes(items[1]),
+        instances_offset=take_int(items[2]),
+        instances=take_list(items[3], _decode_keyed_change),
+    )
+
+
 Message = (
     Hello
     | Proof
@@ -662,6 +825,12 @@
     | MembersDigest
     | Counters
     | BurnSummary
+    | HostBeacon
+    | ZoneObservations
+    | InstanceChanges
+    | HostsRequest
+    | HostList
+    | StoreSnapshot
 )
 
 
@@ -684,6 +853,12 @@
     MembersDigest: 17,
     Counters: 16,
     BurnSummary: 64,
+    HostBeacon: 20,
+    ZoneObservations: 21,
+    InstanceChanges: 22,
+    HostsRequest: 23,
+    HostList: 24,
+    StoreSnapshot: 25,
 }
 
 
@@ -706,6 +881,12 @@
     17: _decode_members_digest,
     16: _decode_counters,
     64: _decode_burn_summary,
+    20: _decode_host_beacon,
+    21: _decode_zone_observations,
+    22: _decode_instance_changes,
+    23: _decode_hosts_request,
+    24: _decode_host_list,
+    25: _decode_store_snapshot,
 }
 
 
@@ -728,6 +909,12 @@
     MembersDigest: "membership",
     Counters: "load",
     BurnSummary: "log",
+    HostBeacon: "zone",
+    ZoneObservations: "zone",
+    InstanceChanges: "zone",
+    HostsRequest: "zone",
+    HostList: "zone",
+    StoreSnapshot: "zone",
 }
 
 
@@ -762,6 +949,9 @@
     "UpstreamLoad",
     "LogRecord",
     "SnapshotPart",
+    "KeyedChange",
+    "HostPlace",
+    "InstanceObservation",
     "ServiceCounters",
     "UpstreamRecord",
     "RouteRecord",
@@ -790,4 +980,10 @@
     "MembersDigest",
     "Counters",
     "BurnSummary",
+    "HostBeacon",
+    "ZoneObservations",
+    "InstanceChanges",
+    "HostsRequest",
+    "HostList",
+    "StoreSnapshot",
 ]
--- a/anviltray/node/_node.py
+++ b/anviltray/node/_node.py
@@ -1,16 +1,14 @@
 """Assembly of one node."""
 
 import asyncio
-import contextlib
 import random
 import secrets
-from collections.abc import Coroutine, Iterator
+from collections.abc import Coroutine
 from typing import Any
 
 import logbook
-import uvicorn
 
-from anviltray.callers import bind, create_application, serve
+from anviltray.callers import bind, create_application, serve, serve_internal
 from anviltray.messages import (
     Counters,
     Ejection,
@@ -113,7 +111,9 @@
                     self._listening,
                 )
             ),
-            asyncio.create_task(self._serve_operators(operator_application, operators)),
+            asyncio.create_task(
+                serve_internal(operator_application, [operators], self._stop_operators)
+            ),
         ]
         for task in (
             self._burn_log.run(),
@@ -158,23 +158,6 @@
     def _listening(self) -> None:
         self.context.listening = True
 
-    async def _serve_operators(self, application: Any, listener: Any) -> None:
-        config = uvicorn.Config(
-            application,
-            loop="asyncio",
-            http="httptools",
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            server_header=False,
-        )
-        server = _Server(config)
-        serving = asyncio.create_task(server.serve([listener]))
-        await self._stop_operators.wait()
-        server.should_exit = True
-        await serving
-
     # Membership and host list
 
     def _take_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
@@ -264,15 +247,6 @@
                 self.context.board.probed(loop.time(), address, healthy)
 
 
-class _Server(uvicorn.Server):
-    """uvicorn's server without its signal handlers, which belong to the daemon."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Captures nothing."""
-        yield
-
-
 async def _guard(task: Coroutine[Any, Any, None]) -> None:
     """Logs a task that ends by an error, which would otherwise stay unseen until the shutdown."""
     try:
--- a/anviltray/platform/_http.py
+++ b/anviltray/platform/_http.py
@@ -2,12 +2,11 @@
 
 import base64
 import binascii
+import json
 from collections.abc import Mapping
-from typing import Any, NamedTuple
+from typing import Any
 from urllib.parse import quote
 
-import aiohttp
-
 from anviltray.platform._interface import (
     AppendRejected,
     AppendUnknown,
@@ -18,11 +17,7 @@
     PlatformUnavailable,
     Record,
 )
-
-
-class _Response(NamedTuple):
-    status: int  # HTTP status.
-    data: Any  # Decoded JSON body; None if the status is an error.
+from anviltray.platform._transport import HttpTransport, ResponseLost
 
 
 class HttpPlatform:
@@ -34,21 +29,15 @@
     """
 
     def __init__(self, url: str, timeout_s: float) -> None:
-        self._url = url.rstrip("/")
-        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
-        self._session: aiohttp.ClientSession | None = None
+        self._transport = HttpTransport(url, timeout_s)
 
     async def append(self, stream: str, payload: bytes) -> int:
         """Appends a record and returns its offset."""
-        url = f"{self._url}/streams/{quote(stream, safe='')}"
+        path = f"/streams/{quote(stream, safe='')}"
         try:
-            # A request that carries a body is never resent by aiohttp after a broken connection
-            # when its method is POST; a silent resend would append twice.
-            response = await self._send("POST", url, data=payload)
-        except aiohttp.ClientConnectorError as error:
-            raise PlatformUnavailable(f"append: {error}") from error
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
-            raise AppendUnknown(f"append: {error or type(error).__name__}") from error
+            response = await self._transport.send("POST", path, data=payload)
+        except ResponseLost as error:
+            raise AppendUnknown(f"append: {error}") from error
         if response.status == 429:
             raise AppendRejected("append: the rate limit is reached")
         if response.status == 503:
@@ -56,7 +45,7 @@
         if response.status != 201:
             raise AppendUnknown(f"append: unexpected status {response.status}")
         try:
-            return _integer(response.data, "offset")
+            return _integer(json.loads(response.body), "offset")
         except ValueError as error:
             raise AppendUnknown(f"append: {error}") from error
 
@@ -98,29 +87,21 @@
 
     async def close(self) -> None:
         """Closes the connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        await self._transport.close()
 
     async def _get(self, path: str, parameters: Mapping[str, str]) -> Any:
         try:
-            response = await self._send("GET", f"{self._url}{path}", params=parameters)
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
-            raise PlatformUnavailable(f"{path}: {error or type(error).__name__}") from error
+            response = await self._transport.send("GET", path, params=parameters)
+        except ResponseLost as error:
+            raise PlatformUnavailable(str(error)) from error
         if response.status == 410:
             raise OffsetTrimmed(f"{path}: offset {parameters.get('offset')} is trimmed")
         if response.status != 200:
             raise PlatformUnavailable(f"{path}: status {response.status}")
-        return response.data
-
-    async def _send(self, method: str, url: str, **arguments: Any) -> _Response:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(timeout=self._timeout)
-        async with self._session.request(method, url, **arguments) as response:
-            if response.status >= 400:
-                await response.read()
-                return _Response(response.status, None)
-            return _Response(response.status, await response.json(content_type=None))
+        try:
+            return json.loads(response.body)
+        except ValueError as error:
+            raise PlatformUnavailable(f"{path}: malformed answer: {error}") from error
 
 
 def _integer(data: Any, name: str) -> int:
--- a/anviltray/platform/_interface.py
+++ b/anviltray/platform/_interface.py
@@ -45,6 +45,28 @@
     next: int  # Offset that the next append gets.
 
 
+class KeyedRecord(NamedTuple):
+    """One record of a topic whose records have keys."""
+
+    key: str  # Key of the record.
+    payload: bytes | None  # Value; None if the record removes the key.
+
+
+class Newest(NamedTuple):
+    """The newest record of each key of a topic."""
+
+    records: tuple[KeyedRecord, ...]  # Sorted as the store gives them.
+    end: int  # Offset from which later changes can be read.
+
+
+class RecordBatch(NamedTuple):
+    """Consecutive records of a topic whose records have keys."""
+
+    records: tuple[KeyedRecord, ...]  # In the order of the log.
+    next_offset: int  # Offset after the last record of this batch.
+    end: int  # Offset that the next append gets.
+
+
 class HostEntry(NamedTuple):
     """One entry of the host list, which lags behind the truth."""
 
--- /dev/null
+++ b/anviltray/platform/_transport.py
@@ -0,0 +1,56 @@
+"""HTTP calls to the platform, with errors that tell whether a call may have taken effect."""
+
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from anviltray.platform._interface import PlatformError, PlatformUnavailable
+
+
+class ResponseLost(PlatformError):
+    """The call was sent and got no whole response, so it may have taken effect."""
+
+
+class Response(NamedTuple):
+    """Response of one call."""
+
+    status: int  # HTTP status.
+    body: bytes  # Whole body.
+
+
+class HttpTransport:
+    """One session with the platform; `timeout_s` limits calls without a limit of their own."""
+
+    def __init__(self, url: str, timeout_s: float) -> None:
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._session: aiohttp.ClientSession | None = None
+
+    async def send(
+        self, method: str, path: str, timeout_s: float | None = None, **arguments: Any
+    ) -> Response:
+        """Returns the response to one call.
+
+        Raises PlatformUnavailable if the call was not sent, and ResponseLost otherwise. aiohttp
+        never resends a POST after a broken connection, so a call is made at most once.
+        """
+        limit_s = self._timeout_s if timeout_s is None else timeout_s
+        timeout = aiohttp.ClientTimeout(total=limit_s, sock_connect=self._timeout_s)
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        url = f"{self._url}{path}"
+        try:
+            async with self._session.request(method, url, timeout=timeout, **arguments) as response:
+                return Response(response.status, await response.read())
+        except aiohttp.ClientConnectorError as error:
+            raise PlatformUnavailable(f"{path}: {error}") from error
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            # A connection that has gone silent stays silent, and its idle neighbours may be too.
+            await self.close()
+            raise ResponseLost(f"{path}: {error or type(error).__name__}") from error
+
+    async def close(self) -> None:
+        """Closes all connections; the next call opens a new one."""
+        session, self._session = self._session, None
+        if session is not None:
+            await session.close()
--- a/anviltray/settings/__init__.py
+++ b/anviltray/settings/__init__.py
@@ -2,7 +2,8 @@
 
 from anviltray.settings import _generated
 from anviltray.settings._generated import *
+from anviltray.settings._host import Guarantees, HostSettings
 from anviltray.settings._load import load_settings
 
-__all__ = ["load_settings"]
+__all__ = ["Guarantees", "HostSettings", "load_settings"]
 __all__ += _generated.__all__
--- a/anviltray/settings/_generated.py
+++ b/anviltray/settings/_generated.py
@@ -91,6 +91,8 @@
     deadline_header: str  # Header with the remaining milliseconds.
     request_id_header: str  # Header with the request identifier.
     shed_header: str  # Header of a 503 that proves that the request was not started.
+    refusal_statuses: tuple[int, ...]  # Statuses that the shed header makes a refusal.
+    accept_unframed: bool  # A response without length may end with its connection.
     drain_header: str  # Response header of an upstream that is leaving.
     load_header: str  # Response header with the share of slots in use.
     cold_header: str  # Response header of an upstream that is still warming.
@@ -110,6 +112,8 @@
         deadline_header=data.get("deadline_header", "X-Deadline-Ms"),
         request_id_header=data.get("request_id_header", "X-Request-Id"),
         shed_header=data.get("shed_header", "X-Shed"),
+        refusal_statuses=tuple(data.get("refusal_statuses", [503])),
+        accept_unframed=data.get("accept_unframed", False),
         drain_header=data.get("drain_header", "X-Draining"),
         load_header=data.get("load_header", "X-Load"),
         cold_header=data.get("cold_header", "X-Cold"),
--- a/anviltray/upstreams/__init__.py
+++ b/anviltray/upstreams/__init__.py
@@ -7,7 +7,7 @@
     UpstreamRequest,
     UpstreamResponse,
 )
-from anviltray.upstreams._dialect import Dialect, Signals
+from anviltray.upstreams._dialect import MISDIRECTED, Dialect, Signals
 from anviltray.upstreams._errors import (
     ConnectFailed,
     ConnectionsExhausted,
@@ -19,6 +19,7 @@
 
 __all__ = [
     "HOP_BY_HOP",
+    "MISDIRECTED",
     "ConnectFailed",
     "ConnectionsExhausted",
     "Dialect",
--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -301,7 +301,8 @@
         status = response.status
         if status < 200 or status > 599:
             raise InvalidResponse(f"the upstream answered with status {status}")
-        if not framed and status not in (204, 304) and method != "HEAD":
+        bodiless = status in (204, 304) or method == "HEAD"
+        if not framed and not bodiless and not self._settings.accept_unframed:
             # Without a length, a response that was cut short looks like a whole one.
             raise InvalidResponse("the response has neither a length nor chunks")
         signals = self.dialect.signals(status, found) if found else NO_SIGNALS
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -17,6 +17,17 @@
     body would wait for its deadline.
     """
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends the body of the current response.
+
+        aiohttp takes the loss of the connection for the end of a body without length, also if the
+        upstream has reset it.
+        """
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(f"the connection was lost: {exc}"))
+        super().connection_lost(exc)
+
     def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
         """Sets the error for the readers of the head and of the body."""
         payload = self._payload
--- a/anviltray/upstreams/_dialect.py
+++ b/anviltray/upstreams/_dialect.py
@@ -11,6 +11,7 @@
 
 # Answer of the cancel endpoint that proves that the request was not and will not be started.
 NOT_STARTED = "not-started"
+MISDIRECTED = 421  # The request names an instance that has another address (RFC 9110, 15.5.20).
 
 
 class Signals(NamedTuple):
@@ -33,6 +34,7 @@
         self.request_id_header = settings.request_id_header
         self.health_path = settings.health_path
         self.cancel_path = settings.cancel_path
+        self._refusal_statuses = frozenset(settings.refusal_statuses)
         self._shed = settings.shed_header.lower().encode()
         self._drain = settings.drain_header.lower().encode()
         self._load = settings.load_header.lower().encode()
@@ -56,8 +58,9 @@
     def signals(self, status: int, found: Iterable[tuple[bytes, bytes]]) -> Signals:
         """Returns the signals of a response from those of its headers in `signal_headers`.
 
-        Only a 503 with the shed header is a refusal. A draining upstream marks every response, so
-        that a 503 with the drain header alone may come from a request that ran.
+        Only a status that the settings name, with the shed header, is a refusal. A draining
+        upstream marks every response, so that a 503 with the drain header alone may come from a
+        request that ran.
         """
         shed = draining = cold = False
         load: float | None = None
@@ -72,7 +75,8 @@
                 draining = True
             else:
                 cold = True
-        return Signals(status == 503 and shed, draining, cold, load)
+        refused = shed and status in self._refusal_statuses
+        return Signals(refused, draining, cold, load)
 
     def confirms_not_started(self, status: int, body: bytes) -> bool:
         """Tells whether a cancel answer proves that the request was not and will not be run.
--- /dev/null
+++ b/anviltray/zone/__init__.py
@@ -0,0 +1,16 @@
+"""What the hosts of one availability zone share: beacons, evidence and reads of the store."""
+
+from anviltray.zone._exchange import ZoneExchange
+from anviltray.zone._follower import StoreFollower
+from anviltray.zone._hosts import HostTable, ZoneHost
+from anviltray.zone._snapshots import SNAPSHOT_PATH, SnapshotUnavailable, fetch_snapshot
+
+__all__ = [
+    "SNAPSHOT_PATH",
+    "HostTable",
+    "SnapshotUnavailable",
+    "StoreFollower",
+    "ZoneExchange",
+    "ZoneHost",
+    "fetch_snapshot",
+]
