--- a/anviltray/decisions/placement/_evidence.py
+++ b/anviltray/decisions/placement/_evidence.py
@@ -1,10 +1,11 @@
-"""What the hosts of one availability zone have seen of each instance a moment ago.
+"""How likely each instance is sick, from what the hosts of one availability zone see.
 
-Load pattern: at any moment some instances reset most of what they get, for about a second, while
+Load pattern: at any moment some instances reset most of what they get, for seconds at a time, while
 their health checks pass. One host sends an instance less than one request a second, so it learns of
-this too late; the hosts of a zone together see dozens.
+this too late; the hosts of a zone together see several.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 
 from anviltray.decisions._types import ExchangeOutcome
@@ -13,47 +14,59 @@
 # A request that has been in flight for this long was accepted: instances that reset requests do so
 # within milliseconds.
 ACCEPTED_AFTER_S = 0.06
-# Weight of one failure. A 5xx response is also what a sound instance answers to some requests.
-_WEIGHTS = {
-    ExchangeOutcome.BROKEN: 1.0,
-    ExchangeOutcome.CONNECT_FAILED: 1.0,
-    ExchangeOutcome.TIMED_OUT: 1.0,
-    ExchangeOutcome.SERVER_ERROR: 0.4,
+# A request counts as overdue after this multiple of the mean time of its service, and not earlier
+# than the least time.
+_OVERDUE_FACTOR = 4.0
+_OVERDUE_LEAST_S = 1.0
+
+# Two-state model of an instance, from a recorded day: sick phases last 9 s and sound ones 20 s.
+# Without news, the probability of sickness moves towards the share of sick time.
+_SICK_PHASE_S = 9.0
+_SOUND_PHASE_S = 20.0
+SICK_SHARE = _SICK_PHASE_S / (_SICK_PHASE_S + _SOUND_PHASE_S)
+_RELAXATION_S = 1 / (1 / _SICK_PHASE_S + 1 / _SOUND_PHASE_S)
+# Probability of a broken exchange at a sick and at a sound instance.
+_BROKEN_WHEN_SICK = 0.85
+_BROKEN_WHEN_SOUND = 0.003
+_BROKEN = math.log(_BROKEN_WHEN_SICK / _BROKEN_WHEN_SOUND)
+_ACCEPTED = math.log((1 - _BROKEN_WHEN_SICK) / (1 - _BROKEN_WHEN_SOUND))
+# A 5xx response or a slow one is also what sound instances give to some requests.
+_SERVER_ERROR = math.log(5.0)
+_OVERDUE = math.log(12.0)
+# A whole good response, of which the acceptance was counted before.
+_GOOD = math.log(0.7)
+_EVIDENCE = {
+    ExchangeOutcome.BROKEN: _BROKEN,
+    ExchangeOutcome.CONNECT_FAILED: _BROKEN,
+    ExchangeOutcome.SERVER_ERROR: _SERVER_ERROR,
+    ExchangeOutcome.OK: _GOOD,
 }
-SUSPECT_SCORE = 0.7  # Score from which an instance is avoided.
-SCORE_HALF_LIFE_S = 2.0  # Time in which a score without news falls to half.
-_SCORE_LIMIT = 4.0
-_PROOF_FACTOR = 0.45  # What one accepted request leaves of the score.
+_LOG_ODDS_LIMIT = 6.0  # Bounds the belief, so that a change is noticed after few requests.
+
 _LATENCY_WEIGHT = 0.1  # Weight of one latency in the mean of a service.
 _FIRST_LATENCY_S = 0.4  # Assumed before the first response.
 
 
 class InstanceEvidence:
-    """Evidence about one instance."""
+    """Belief about one instance and its load."""
 
     __slots__ = (
+        "_log_odds",
         "_peers",
+        "_updated_s",
         "explored_s",
-        "failed_s",
-        "failures",
+        "news",
         "outstanding",
         "peer_outstanding",
-        "proofs",
-        "proved_s",
-        "score",
-        "scored_s",
     )
 
     def __init__(self) -> None:
         self.outstanding = 0  # Requests in flight from this host.
         self.peer_outstanding = 0  # Those from the other hosts of the zone.
-        self.score = 0.0  # Suspicion as of `scored_s`.
-        self.scored_s = 0.0
-        self.failed_s = float("-inf")  # Last failure that any host of the zone saw.
-        self.proved_s = float("-inf")  # Start of the newest request that was accepted.
-        self.explored_s = float("-inf")  # Last request sent in spite of the suspicion.
-        self.failures = 0.0  # Not reported yet.
-        self.proofs = 0  # Not reported yet.
+        self.explored_s = float("-inf")  # Last request sent to learn its state.
+        self.news = 0.0  # Log-likelihood ratio that was not reported yet.
+        self._log_odds = math.log(SICK_SHARE / (1 - SICK_SHARE))
+        self._updated_s = float("-inf")
         self._peers: dict[str, int] = {}
 
     @property
@@ -61,24 +74,23 @@
         """Requests in flight from all hosts of the zone."""
         return self.outstanding + self.peer_outstanding
 
-    def suspicion(self, now_s: float) -> float:
-        """Returns the score as of now."""
-        if self.score == 0.0:
-            return 0.0
-        return float(self.score * 0.5 ** ((now_s - self.scored_s) / SCORE_HALF_LIFE_S))
-
-    def failed(self, now_s: float, weight: float) -> None:
-        """Adds a failure."""
-        self.score = min(_SCORE_LIMIT, self.suspicion(now_s) + weight)
-        self.scored_s = now_s
-        self.failed_s = now_s
-
-    def proved(self, now_s: float, started_s: float, count: int = 1) -> None:
-        """Adds requests that were accepted; a start before the last failure proves nothing."""
-        self.proved_s = max(self.proved_s, started_s)
-        if started_s > self.failed_s:
-            self.score = self.suspicion(now_s) * _PROOF_FACTOR**count
-            self.scored_s = now_s
+    @property
+    def updated_s(self) -> float:
+        """Time of the newest evidence."""
+        return self._updated_s
+
+    def sickness(self, now_s: float) -> float:
+        """Returns the probability that the instance is sick."""
+        believed = 1 / (1 + math.exp(-self._log_odds))
+        kept = math.exp(-max(0.0, now_s - self._updated_s) / _RELAXATION_S)
+        return SICK_SHARE + (believed - SICK_SHARE) * kept
+
+    def learn(self, now_s: float, log_likelihood_ratio: float) -> None:
+        """Adds evidence; above 0 it speaks for sickness."""
+        sickness = self.sickness(now_s)
+        log_odds = math.log(sickness / (1 - sickness)) + log_likelihood_ratio
+        self._log_odds = max(-_LOG_ODDS_LIMIT, min(_LOG_ODDS_LIMIT, log_odds))
+        self._updated_s = now_s
 
     def set_peer(self, host: str, outstanding: int) -> None:
         """Sets the requests in flight from another host."""
@@ -96,7 +108,7 @@
         self._evidence: dict[str, InstanceEvidence] = {}
         self._changed: set[str] = set()
         self._latency_s: dict[str, float] = {}
-        self.urgent = False  # A failure has not been reported yet.
+        self.urgent = False  # There is news against an instance.
 
     def of(self, instance: str) -> InstanceEvidence:
         """Returns the evidence about an instance."""
@@ -109,17 +121,22 @@
         """Returns the mean time that a response of a service takes."""
         return self._latency_s.get(service, _FIRST_LATENCY_S)
 
+    def overdue_after_s(self, service: str) -> float:
+        """Returns the time after which a request without a response speaks for sickness."""
+        return max(_OVERDUE_LEAST_S, _OVERDUE_FACTOR * self.mean_latency_s(service))
+
     def started(self, instance: str) -> None:
         """A request was sent."""
         self.of(instance).outstanding += 1
         self._changed.add(instance)
 
-    def accepted(self, now_s: float, instance: str, started_s: float) -> None:
+    def accepted(self, now_s: float, instance: str) -> None:
         """A request has been in flight for `ACCEPTED_AFTER_S`, or got a response."""
-        evidence = self.of(instance)
-        evidence.proved(now_s, started_s)
-        evidence.proofs += 1
-        self._changed.add(instance)
+        self._learn(now_s, instance, _ACCEPTED)
+
+    def overdue(self, now_s: float, instance: str) -> None:
+        """A request has got no response for `overdue_after_s`."""
+        self._learn(now_s, instance, _OVERDUE)
 
     def ended(
         self,
@@ -130,44 +147,43 @@
         latency_s: float,
     ) -> None:
         """A request has ended."""
-        evidence = self.of(instance)
-        evidence.outstanding -= 1
+        self.of(instance).outstanding -= 1
         self._changed.add(instance)
-        weight = _WEIGHTS.get(outcome, 0.0)
-        if weight:
-            evidence.failed(now_s, weight)
-            evidence.failures += weight
-            self.urgent = True
-        elif outcome is ExchangeOutcome.OK:
+        ratio = _EVIDENCE.get(outcome, 0.0)
+        if ratio:
+            self._learn(now_s, instance, ratio)
+        if outcome is ExchangeOutcome.OK:
             mean_s = self.mean_latency_s(service)
             self._latency_s[service] = mean_s + _LATENCY_WEIGHT * (latency_s - mean_s)
 
+    def _learn(self, now_s: float, instance: str, ratio: float) -> None:
+        evidence = self.of(instance)
+        evidence.learn(now_s, ratio)
+        evidence.news += ratio
+        self._changed.add(instance)
+        if ratio > 0:
+            self.urgent = True
+
     def take_observations(self) -> tuple[InstanceObservation, ...]:
         """Returns what has changed since the last call, for the other hosts of the zone."""
-        reports = []
+        observations = []
         for instance in sorted(self._changed):
             evidence = self.of(instance)
-            reports.append(
-                InstanceObservation(
-                    instance, evidence.outstanding, evidence.failures, evidence.proofs
-                )
-            )
-            evidence.failures, evidence.proofs = 0.0, 0
+            observations.append(InstanceObservation(instance, evidence.outstanding, evidence.news))
+            evidence.news = 0.0
         self._changed.clear()
         self.urgent = False
-        return tuple(reports)
+        return tuple(observations)
 
     def peer_observations(
-        self, now_s: float, host: str, reports: Iterable[InstanceObservation]
+        self, now_s: float, host: str, observations: Iterable[InstanceObservation]
     ) -> None:
-        """Takes the reports of another host."""
-        for report in reports:
-            evidence = self.of(report.instance)
-            evidence.set_peer(host, report.outstanding)
-            if report.failures > 0:
-                evidence.failed(now_s, report.failures)
-            if report.proofs > 0:
-                evidence.proved(now_s, now_s - ACCEPTED_AFTER_S, report.proofs)
+        """Takes the observations of another host."""
+        for observation in observations:
+            evidence = self.of(observation.instance)
+            evidence.set_peer(host, observation.outstanding)
+            if observation.log_likelihood_ratio:
+                evidence.learn(now_s, observation.log_likelihood_ratio)
 
     def peer_gone(self, host: str) -> None:
         """Forgets the requests in flight from a host that has ended or is cut off."""
--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -9,24 +9,22 @@
 from random import Random
 from typing import NamedTuple, Protocol
 
-from anviltray.decisions.placement._evidence import (
-    SUSPECT_SCORE,
-    EvidenceBoard,
-    InstanceEvidence,
-)
+from anviltray.decisions.placement._evidence import EvidenceBoard, InstanceEvidence
 from anviltray.declarations import Instance
 
 # Costs in units of one mean service time: an instance that is merely busy, the own region and other
 # regions instead of the own availability zone.
 _BUSY_COST = 0.3
 _DISTANCE_COST = (0.0, 0.3, 0.7)
-# Cost of an instance without recent proof for a request that must not be repeated.
-_UNPROVED_COST = 0.35
-_PROOF_LIFETIME_S = 2.0
+# Cost of certain failure. A failed request that must not be repeated is lost; another one takes an
+# extra send.
+_LOSS_COST = 8.0
+_REPEAT_COST = 1.5
 _WARMING_SPEED = 0.5  # An instance works at this speed after its start.
-# Share of idempotent requests that test a suspected instance, and the pause between two tests.
-_EXPLORE_SHARE = 0.3
-_EXPLORE_PAUSE_S = 0.25
+# Idempotent requests test instances that are sick with at least this probability and of which
+# nothing was heard for the pause.
+_EXPLORE_SICKNESS = 0.15
+_EXPLORE_PAUSE_S = 0.6
 # Part of the time left that the expected response time may take, by priority: when there is not
 # room for all, the less urgent requests are turned away first.
 _PATIENCE = (0.9, 0.75, 0.6)
@@ -45,7 +43,7 @@
     """What the choice depends on."""
 
     service: str  # Service name.
-    idempotent: bool  # Whether the request may be repeated.
+    repeatable: bool  # Whether another send is possible after a failure.
     priority: int  # 0 is the most urgent.
     remaining_s: float  # Time until the caller gives up.
     exclude: frozenset[str] = frozenset()  # Instances that were tried.
@@ -56,9 +54,9 @@
 
     instance: Instance  # Where it goes.
     load: float  # Requests per slot there, with this one.
-    suspicion: float  # Score of the instance.
-    proof_age_s: float  # Age of the newest accepted request there.
-    explores: bool  # It tests a suspected instance.
+    sickness: float  # Probability that the instance is sick.
+    evidence_age_s: float  # Age of the newest evidence about it.
+    explores: bool  # The request tests the state of the instance.
 
 
 class TurnedAway(NamedTuple):
@@ -111,21 +109,11 @@
         ]
         if not candidates:
             return TurnedAway(self._retry_after_s(_LEAST_RETRY_AFTER_S), 0.0, 0)
-        sound: list[_Candidate] = []
-        suspected: list[_Candidate] = []
-        for candidate in candidates:
-            doubtful = candidate.evidence.suspicion(now_s) >= SUSPECT_SCORE
-            (suspected if doubtful else sound).append(candidate)
-        if request.idempotent and suspected and self._rng.random() < _EXPLORE_SHARE:
-            tested = self._explore(now_s, suspected)
+        if request.repeatable:
+            tested = self._explore(now_s, candidates)
             if tested is not None:
                 return _placed(now_s, tested, explores=True)
-        # If everything is suspected, the least suspected is better than nothing.
-        best = (
-            min(sound, key=lambda candidate: candidate.cost)
-            if sound
-            else min(suspected, key=lambda item: item.evidence.suspicion(now_s) + item.cost)
-        )
+        best = min(candidates, key=lambda candidate: candidate.cost)
         expected_s = self._expected_s(request.service, best.load)
         if expected_s > request.remaining_s * _PATIENCE[min(request.priority, 2)]:
             excess_s = expected_s - request.remaining_s * _PATIENCE[min(request.priority, 2)]
@@ -139,8 +127,8 @@
             slots *= _WARMING_SPEED
         load = (evidence.total_outstanding + 1) / slots
         cost = max(0.0, load - 1) + _BUSY_COST * load + _DISTANCE_COST[self._distance(instance)]
-        if not request.idempotent and now_s - evidence.proved_s > _PROOF_LIFETIME_S:
-            cost += _UNPROVED_COST
+        failure_cost = _REPEAT_COST if request.repeatable else _LOSS_COST
+        cost += failure_cost * evidence.sickness(now_s)
         # The smallest differences must not decide, or hosts with equal views would choose alike.
         return _Candidate(instance, evidence, load, cost + 0.05 * self._rng.random())
 
@@ -149,17 +137,19 @@
             return 0
         return 1 if self._zone_regions.get(instance.zone) == self._place.region else 2
 
-    def _explore(self, now_s: float, suspected: Sequence[_Candidate]) -> _Candidate | None:
+    def _explore(self, now_s: float, candidates: Sequence[_Candidate]) -> _Candidate | None:
+        """Returns the doubtful instance of the own zone that was heard of least recently."""
         due = [
             item
-            for item in suspected
+            for item in candidates
             if item.instance.zone == self._place.zone
             and item.load <= 1
-            and now_s - max(item.evidence.explored_s, item.evidence.failed_s) > _EXPLORE_PAUSE_S
+            and now_s - max(item.evidence.explored_s, item.evidence.updated_s) > _EXPLORE_PAUSE_S
+            and item.evidence.sickness(now_s) > _EXPLORE_SICKNESS
         ]
         if not due:
             return None
-        tested = min(due, key=lambda item: item.evidence.failed_s)
+        tested = min(due, key=lambda item: item.evidence.updated_s)
         tested.evidence.explored_s = now_s
         return tested
 
@@ -176,7 +166,7 @@
     return Placed(
         candidate.instance,
         candidate.load,
-        evidence.suspicion(now_s),
-        now_s - evidence.proved_s,
+        evidence.sickness(now_s),
+        now_s - evidence.updated_s,
         explores,
     )
--- a/anviltray/edge/_daemon.py
+++ b/anviltray/edge/_daemon.py
@@ -7,7 +7,6 @@
 import sys
 from pathlib import Path
 
-import defopt
 import logbook
 
 from anviltray.edge._edge import Edge
@@ -93,4 +92,9 @@
 
 def main() -> None:
     """Entry point of the program."""
+    if len(sys.argv) == 1:
+        sys.exit(edge())
+    # The command line takes a third of the memory of a host, which has none to read.
+    import defopt
+
     sys.exit(defopt.run(edge, argparse_kwargs={"prog": "anviltray.edge"}))
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -176,7 +176,11 @@
         while True:
             now_s = self._loop.time()
             request = PlacementRequest(
-                call.service, idempotent, call.route.priority, call.remaining_s(now_s), exclude
+                call.service,
+                idempotent and sends + 1 < call.route.instance_limit,
+                call.route.priority,
+                call.remaining_s(now_s),
+                exclude,
             )
             placed = state.placement.choose(now_s, request, state.directory.usable(call.service))
             if isinstance(placed, TurnedAway):
@@ -229,8 +233,8 @@
         entry = {
             "instance": placed.instance.id,
             "load": round(placed.load, 2),
-            "suspicion": round(placed.suspicion, 2),
-            "proof_age_s": round(min(placed.proof_age_s, 999.0), 2),
+            "sickness": round(placed.sickness, 3),
+            "evidence_age_s": round(min(placed.evidence_age_s, 999.0), 2),
             "explores": placed.explores,
         }
         call.history.append(entry)
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -32,7 +32,9 @@
 _ANSWER_LIFETIME_S = 2.0
 _DIRECTORY_ADDRESSES = 64  # More addresses in one answer are not read.
 # News about instances is collected this long before it goes to the zone; failures go at once.
-_OBSERVATION_INTERVAL_S = 0.04
+_OBSERVATION_INTERVAL_S = 0.1
+_URGENT_CHECK_S = 0.02
+_STATISTICS_INTERVAL_S = 10.0
 _STORE_TIMEOUT_S = 1.5
 _CONNECT_TIMEOUT_S = 0.4  # The longest round trip is 16 ms; a dark instance must not cost more.
 # Instances close a connection that is idle for 10 s, and the request that crosses is lost.
@@ -222,15 +224,28 @@
     async def _send_observations(self) -> None:
         board = self.state.board
         loop = asyncio.get_running_loop()
-        cleaned_s = loop.time()
+        sent_s = cleaned_s = loop.time()
         while True:
-            await asyncio.sleep(_OBSERVATION_INTERVAL_S)
-            observations = board.take_observations()
-            if observations:
-                self.exchange.send_to_zone(ZoneObservations(self.settings.address, observations))
-            if loop.time() - cleaned_s > 1.0:
-                cleaned_s = loop.time()
+            await asyncio.sleep(_URGENT_CHECK_S)
+            now_s = loop.time()
+            if board.urgent or now_s - sent_s >= _OBSERVATION_INTERVAL_S:
+                sent_s = now_s
+                observations = board.take_observations()
+                if observations:
+                    message = ZoneObservations(self.settings.address, observations)
+                    self.exchange.send_to_zone(message)
+            if now_s - cleaned_s > _STATISTICS_INTERVAL_S:
+                cleaned_s = now_s
                 board.keep_only(self.state.directory.instances)
+                _log.info(
+                    "statistics",
+                    extra={
+                        "zone": dict(self.exchange.counters),
+                        "store": dict(self.follower.counters),
+                        "hosts": len(self.exchange.alive()),
+                        "read_age_s": round(self.follower.read_age_s(), 2),
+                    },
+                )
 
 
 def _upstream_settings() -> Any:
--- a/anviltray/edge/_send.py
+++ b/anviltray/edge/_send.py
@@ -41,7 +41,7 @@
         """The first byte of the request is about to be written."""
         self.written = True
         self.started_s = self._loop.time()
-        self._timer = self._loop.call_later(ACCEPTED_AFTER_S, self.accepted)
+        self._timer = self._loop.call_later(ACCEPTED_AFTER_S, self._still_in_flight)
 
     def first_byte(self) -> None:
         """The head of the response has arrived."""
@@ -50,7 +50,15 @@
         """The instance works on the request or has answered it."""
         if not self._accepted and not self._ended:
             self._accepted = True
-            self._board.accepted(self._loop.time(), self.placed.instance.id, self.started_s)
+            self._board.accepted(self._loop.time(), self.placed.instance.id)
+
+    def _still_in_flight(self) -> None:
+        self.accepted()
+        limit_s = self._board.overdue_after_s(self._service)
+        self._timer = self._loop.call_later(limit_s, self._overdue)
+
+    def _overdue(self) -> None:
+        self._board.overdue(self._loop.time(), self.placed.instance.id)
 
     def ended(self, outcome: ExchangeOutcome) -> None:
         """Reports the end; further calls change nothing."""
--- a/anviltray/messages/_generated.py
+++ b/anviltray/messages/_generated.py
@@ -150,17 +150,17 @@
 
     instance: str  # Instance id.
     outstanding: int  # Requests in flight from the sending host.
-    failures: float  # Weight of the failures since the last report.
-    proofs: int  # Requests accepted since the last report.
+    log_likelihood_ratio: (
+        float  # Evidence since the last report, sick against sound; natural logarithm.
+    )
 
 
 def _decode_instance_observation(data: Any) -> InstanceObservation:
-    items = check_arity("InstanceObservation", data, 4)
+    items = check_arity("InstanceObservation", data, 3)
     return InstanceObservation(
         instance=take_str(items[0]),
         outstanding=take_int(items[1]),
-        failures=take_float(items[2]),
-        proofs=take_int(items[3]),
+        log_likelihood_ratio=take_float(items[2]),
     )
 
 
@@ -794,15 +794,17 @@
     configuration: bytes  # Record of the configuration.
     instances_offset: int  # Offset up to which the registrations are known or -1.
     instances: tuple[KeyedChange, ...]  # Registrations by key.
+    read_age_s: float  # Age of the newest read of the store that they include.
 
 
 def _decode_store_snapshot(data: Any) -> StoreSnapshot:
-    items = check_arity("StoreSnapshot", data, 4)
+    items = check_arity("StoreSnapshot", data, 5)
     return StoreSnapshot(
         configuration_version=take_int(items[0]),
         configuration=take_bytes(items[1]),
         instances_offset=take_int(items[2]),
         instances=take_list(items[3], _decode_keyed_change),
+        read_age_s=take_float(items[4]),
     )
 
 
--- a/anviltray/schema/_validation.py
+++ b/anviltray/schema/_validation.py
@@ -9,11 +9,9 @@
 import jsonschema
 import yaml
 
-_FORMATS = jsonschema.FormatChecker(formats=())
-
+from anviltray.schema._errors import DocumentError
 
-class DocumentError(ValueError):
-    """A document does not match its schema; the message is one line for an operator."""
+_FORMATS = jsonschema.FormatChecker(formats=())
 
 
 @_FORMATS.checks("ip-port", raises=ValueError)
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -47,6 +47,19 @@
 # A host that is behind another one for longer than this fetches what it misses.
 _BEHIND_S = 0.15
 _UNKNOWN = -1
+# Two hosts that differ by less speak of the same return of the store.
+_RETURN_TOLERANCE_S = 0.5
+
+
+def _differs(known: bytes, key: str, payload: bytes) -> bool:
+    """Tells whether a registration says something new; its sequence and warm-up always change."""
+    if not known or not payload:
+        return known != payload
+    try:
+        before, after = decode_instance(key, known), decode_instance(key, payload)
+    except DocumentInvalid:
+        return known != payload
+    return before != after._replace(warmup_s=before.warmup_s)
 
 
 class StaleAnswer(PlatformError):
@@ -113,7 +126,9 @@
     def snapshot(self) -> StoreSnapshot:
         """Returns what this host knows, for a neighbour."""
         changes = tuple(KeyedChange(key, payload) for key, payload in self._instances.items())
-        return StoreSnapshot(self.version, self._payload, self.instances_offset, changes)
+        return StoreSnapshot(
+            self.version, self._payload, self.instances_offset, changes, self.read_age_s()
+        )
 
     async def run(self) -> None:
         """Loads and then follows until cancelled."""
@@ -236,7 +251,7 @@
         changes = [
             KeyedChange(key, payload)
             for key, payload in last.items()
-            if payload != self._instances.get(key, b"")
+            if _differs(self._instances.get(key, b""), key, payload)
         ]
         if batch.next_offset > offset == self.instances_offset:
             self._apply(changes, batch.next_offset)
@@ -303,7 +318,8 @@
             self._exchange.send_to_zone(message)
 
     def _take_changes(self, message: InstanceChanges) -> None:
-        if self._lost or message.since_return_s < self._loop.time() - self._returned_s:
+        since_s = self._loop.time() - self._returned_s
+        if self._lost or message.since_return_s < since_s - _RETURN_TOLERANCE_S:
             self._store_returned(message.since_return_s)
         if message.from_offset <= self.instances_offset < message.next_offset:
             self._apply(message.changes, message.next_offset)
@@ -352,6 +368,7 @@
         if snapshot.instances_offset > self.instances_offset:
             records = {change.key: change.payload for change in snapshot.instances}
             self._replace(records, snapshot.instances_offset)
+            self.read_s = max(self.read_s, self._loop.time() - snapshot.read_age_s)
         return self.loaded
 
     # State
--- a/anviltray/zone/_hosts.py
+++ b/anviltray/zone/_hosts.py
@@ -5,8 +5,7 @@
 
 from anviltray.messages import HostBeacon, HostPlace
 
-# A host that has not been heard of for this long gets no callers. Beacons come four times a second,
-# and a few may be lost.
+# A host that has not been heard of for this long gets no callers; a few beacons may be lost.
 ALIVE_S = 1.5
 # Hosts that are not heard of are asked this often whether they are back.
 ASK_INTERVAL_S = 2.0
