--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -24,7 +24,7 @@
 # Idempotent requests test instances that are sick with at least this probability and of which
 # nothing was heard for the pause.
 _EXPLORE_SICKNESS = 0.15
-_EXPLORE_PAUSE_S = 0.6
+_EXPLORE_PAUSE_S = 0.8
 # Part of the time left that the expected response time may take, by priority: when there is not
 # room for all, the less urgent requests are turned away first.
 _PATIENCE = (0.9, 0.75, 0.6)
@@ -44,6 +44,7 @@
 
     service: str  # Service name.
     repeatable: bool  # Whether another send is possible after a failure.
+    explores: bool  # Whether it may go to a doubtful instance to learn its state.
     priority: int  # 0 is the most urgent.
     remaining_s: float  # Time until the caller gives up.
     exclude: frozenset[str] = frozenset()  # Instances that were tried.
@@ -109,7 +110,7 @@
         ]
         if not candidates:
             return TurnedAway(self._retry_after_s(_LEAST_RETRY_AFTER_S), 0.0, 0)
-        if request.repeatable:
+        if request.explores:
             tested = self._explore(now_s, candidates)
             if tested is not None:
                 return _placed(now_s, tested, explores=True)
--- a/anviltray/decisions/retries/_budget.py
+++ b/anviltray/decisions/retries/_budget.py
@@ -8,10 +8,11 @@
 
     Example: with `share` 0.1, `take` succeeds 10 times in a window with 100 requests. `minimum`
     lets rare traffic retry at all. One per window of 10 s adds at most 4.8 attempts/s over 48
-    nodes.
+    nodes. `slack` is allowed on top of the share.
     """
 
     def __init__(self, share: float = 0.1, window_s: float = 10.0, minimum: int = 1) -> None:
+        self.slack = 0.0
         self._share = share
         self._minimum = minimum
         self._step_s = window_s / _BUCKETS
@@ -35,13 +36,18 @@
         """
         if retries_elsewhere:
             return False
-        self._advance(now_s)
-        if self._taken_total + 1 > max(self._minimum, self._share * self._request_total):
+        if self.left(now_s) < 1:
             return False
         self._taken[self._step % _BUCKETS] += 1
         self._taken_total += 1
         return True
 
+    def left(self, now_s: float) -> float:
+        """Returns how many extra attempts are allowed now."""
+        self._advance(now_s)
+        allowed = max(self._minimum, self._share * self._request_total + self.slack)
+        return allowed - self._taken_total
+
     def _advance(self, now_s: float) -> None:
         step = int(now_s // self._step_s)
         for passed in range(self._step + 1, min(step, self._step + _BUCKETS) + 1):
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -175,9 +175,11 @@
         sends = connects = 0
         while True:
             now_s = self._loop.time()
+            repeatable = idempotent and sends + 1 < call.route.instance_limit
             request = PlacementRequest(
                 call.service,
-                idempotent and sends + 1 < call.route.instance_limit,
+                repeatable,
+                repeatable and sends == 0 and state.may_explore(now_s, call.service),
                 call.route.priority,
                 call.remaining_s(now_s),
                 exclude,
@@ -253,6 +255,8 @@
             if isinstance(result, WholeResponse)
             else ("passed-on" if result is None else result.reason)
         )
+        if state.board.urgent:
+            state.urgent.set()
         entry["ms"] = round((self._loop.time() - recorder.started_s) * 1000)
         return result
 
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -1,6 +1,7 @@
 """Assembly of one edge host."""
 
 import asyncio
+import contextlib
 import random
 import secrets
 from collections.abc import Coroutine
@@ -33,7 +34,6 @@
 _DIRECTORY_ADDRESSES = 64  # More addresses in one answer are not read.
 # News about instances is collected this long before it goes to the zone; failures go at once.
 _OBSERVATION_INTERVAL_S = 0.1
-_URGENT_CHECK_S = 0.02
 _STATISTICS_INTERVAL_S = 10.0
 _STORE_TIMEOUT_S = 1.5
 _CONNECT_TIMEOUT_S = 0.4  # The longest round trip is 16 ms; a dark instance must not cost more.
@@ -194,6 +194,7 @@
 
     def _configure(self, configuration: RoutingConfiguration) -> None:
         self.state.configure(configuration)
+        self.state.set_fleet_size(len(self.exchange.hosts.places()))
 
     def _beacon(self, answer: bool) -> HostBeacon:
         self._sequence += 1
@@ -224,19 +225,20 @@
     async def _send_observations(self) -> None:
         board = self.state.board
         loop = asyncio.get_running_loop()
-        sent_s = cleaned_s = loop.time()
+        cleaned_s = loop.time()
         while True:
-            await asyncio.sleep(_URGENT_CHECK_S)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.state.urgent.wait(), _OBSERVATION_INTERVAL_S)
+            self.state.urgent.clear()
             now_s = loop.time()
-            if board.urgent or now_s - sent_s >= _OBSERVATION_INTERVAL_S:
-                sent_s = now_s
-                observations = board.take_observations()
-                if observations:
-                    message = ZoneObservations(self.settings.address, observations)
-                    self.exchange.send_to_zone(message)
+            observations = board.take_observations()
+            if observations:
+                message = ZoneObservations(self.settings.address, observations)
+                self.exchange.send_to_zone(message)
             if now_s - cleaned_s > _STATISTICS_INTERVAL_S:
                 cleaned_s = now_s
                 board.keep_only(self.state.directory.instances)
+                self.state.set_fleet_size(len(self.exchange.hosts.places()))
                 _log.info(
                     "statistics",
                     extra={
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -1,6 +1,6 @@
 """What the request path of an edge host uses."""
 
-from collections.abc import Mapping
+import asyncio
 from random import Random
 
 from anviltray.decisions.instances import InstanceDirectory
@@ -18,6 +18,10 @@
 # Part of the fleet's retry share that a host uses of what its own requests earn. The rest covers
 # requests that are counted in another window than their retry.
 _SHARE_USED = 0.9
+# Part of the fleet's retry slack that is given out; the rest is for hosts that are not known yet.
+_SLACK_USED = 0.6
+# Extra sends that stay reserved for requests that an instance has refused.
+_EXPLORE_RESERVE = 2.0
 
 
 class EdgeState:
@@ -37,8 +41,10 @@
         )
         self.configuration: RoutingConfiguration | None = None
         self.shutting_down = False
+        self.urgent = asyncio.Event()  # News against an instance waits to be sent to the zone.
         self._routes = PrefixIndex()
         self._rng = rng
+        self._slack = 0.0
         self._shares: dict[str, WeightedChoice] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -70,14 +76,16 @@
             budget = self._budgets[service] = RetryBudget(
                 share=guarantees.retry_share * _SHARE_USED, window_s=guarantees.retry_window_s
             )
+            budget.slack = self._slack
         return budget
 
-    def connection_limits(self, hosts: int) -> Mapping[str, int]:
-        """Returns the connections that this host may open to one instance of each service."""
-        configuration = self.configuration
-        if configuration is None:
-            return {}
-        return {
-            name: max(1, service.connection_limit // max(1, hosts))
-            for name, service in configuration.services.items()
-        }
+    def set_fleet_size(self, hosts: int) -> None:
+        """Divides among all hosts what the fleet shares."""
+        self._slack = self.settings.guarantees.retry_slack * _SLACK_USED / hosts
+        for budget in self._budgets.values():
+            budget.slack = self._slack
+        self.upstreams.set_nodes(hosts)
+
+    def may_explore(self, now_s: float, service: str) -> bool:
+        """Tells whether a request may go to a doubtful instance and then be sent once more."""
+        return self.retry_budget(service).left(now_s) >= _EXPLORE_RESERVE
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -35,7 +35,7 @@
 
 _Result = TypeVar("_Result")
 
-_TICK_S = 0.05
+_TICK_S = 0.1
 # The zone's reader waits this long at the store for a new configuration. The wait is short, because
 # a connection that has gone silent shows only when an answer is overdue.
 _CONFIGURATION_WAIT_S = 1.2
