--- /dev/null
+++ b/anviltray/decisions/placement/tests/test_evidence.py
@@ -0,0 +1,81 @@
+"""Guards against beliefs that are slow to change or change for a single odd response."""
+
+import pytest
+
+from anviltray.decisions import ExchangeOutcome
+from anviltray.decisions.placement import EvidenceBoard
+from anviltray.decisions.placement._evidence import SICK_SHARE
+
+BROKEN, ERROR, OK = (
+    ExchangeOutcome.BROKEN,
+    ExchangeOutcome.SERVER_ERROR,
+    ExchangeOutcome.OK,
+)
+
+
+def belief(events, at_s):
+    """Returns the sickness after (time, event) pairs; "accepted" and "overdue" are events too."""
+    board = EvidenceBoard()
+    for now_s, event in events:
+        if event == "accepted":
+            board.accepted(now_s, "i-1")
+        elif event == "overdue":
+            board.overdue(now_s, "i-1")
+        else:
+            board.started("i-1")
+            board.ended(now_s, "i-1", "keeper", event, 0.4)
+    return board.of("i-1").sickness(at_s)
+
+
+@pytest.mark.parametrize(
+    ("events", "at_s", "low", "high"),
+    [
+        ([], 0.0, SICK_SHARE, SICK_SHARE),
+        ([(0.0, BROKEN)], 0.0, 0.95, 1.0),
+        # One request in seven is accepted by a sick instance and clears nothing.
+        ([(0.0, BROKEN), (0.1, BROKEN), (0.2, "accepted")], 0.2, 0.9, 1.0),
+        # Several in a row do.
+        ([(0.0, BROKEN), *((1.0 + n, "accepted") for n in range(4))], 4.0, 0.0, 0.1),
+        # A sound instance answers some requests with an error or late.
+        ([*((0.1 * n, "accepted") for n in range(9)), (1.0, ERROR)], 1.0, 0.0, 0.1),
+        ([*((0.1 * n, "accepted") for n in range(9)), (1.0, "overdue")], 1.0, 0.0, 0.15),
+        # Many do not.
+        ([(0.1 * n, ERROR) for n in range(5)], 0.5, 0.95, 1.0),
+        ([(0.1 * n, "overdue") for n in range(3)], 0.3, 0.95, 1.0),
+        # Without news the belief returns to the share of sick time.
+        ([(0.0, BROKEN)], 60.0, SICK_SHARE - 0.01, SICK_SHARE + 0.01),
+        ([(0.0, "accepted")], 60.0, SICK_SHARE - 0.01, SICK_SHARE + 0.01),
+    ],
+)
+def test_belief(events, at_s, low, high):
+    assert low <= belief(events, at_s) <= high
+
+
+@pytest.mark.parametrize("outcome", [ExchangeOutcome.REFUSED, ExchangeOutcome.ABANDONED])
+def test_refusals_and_callers_that_leave_say_nothing(outcome):
+    assert belief([(1.0, outcome)], 1.0) == pytest.approx(SICK_SHARE)
+
+
+def test_another_host_believes_the_same_after_a_report():
+    first, second = EvidenceBoard(), EvidenceBoard()
+    first.started("i-1")
+    first.started("i-1")
+    first.ended(1.0, "i-1", "keeper", BROKEN, 0.01)
+    assert first.urgent
+    second.peer_observations(1.0, "10.0.0.1", first.take_observations())
+    assert not first.urgent
+    assert second.of("i-1").sickness(1.0) == pytest.approx(first.of("i-1").sickness(1.0))
+    assert second.of("i-1").total_outstanding == 1
+    second.peer_gone("10.0.0.1")
+    assert second.of("i-1").total_outstanding == 0
+    assert first.take_observations() == ()
+
+
+def test_instances_that_are_gone_are_forgotten_when_idle():
+    board = EvidenceBoard()
+    board.started("i-1")
+    board.keep_only({})
+    assert board.of("i-1").outstanding == 1
+    board.ended(1.0, "i-1", "keeper", OK, 0.4)
+    board.keep_only({})
+    assert board.of("i-1").sickness(1.0) == pytest.approx(SICK_SHARE)
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import secrets
+import socket
 from collections.abc import Coroutine
 from typing import Any
 
@@ -73,6 +74,7 @@
         self._tasks: list[asyncio.Task[Any]] = []
         self._stop_callers = asyncio.Event()
         self._stop_pages = asyncio.Event()
+        self._listeners: list[socket.socket] = []
         self._serving: list[asyncio.Task[Any]] = []
         self.metrics.attach("zone", lambda: self.exchange.counters)
         self.metrics.attach("store", lambda: self.follower.counters)
@@ -91,6 +93,7 @@
             f"{settings.address}:{METRICS_PORT}",
         }
         listeners = [bind(address) for address in sorted(addresses)]
+        self._listeners = [callers, *listeners]
         await self.exchange.start()
         caller_settings = build_caller_settings(
             {"answer_lifetime_s": _CALLER_IDLE_S, "head_timeout_s": _CALLER_IDLE_S}
@@ -152,6 +155,8 @@
         for task in (*self._tasks, *self._serving):
             task.cancel()
         await asyncio.gather(*self._tasks, *self._serving, return_exceptions=True)
+        for listener in self._listeners:
+            listener.close()
         self.exchange.close()
         await self.state.upstreams.close()
         await self.store.close()
--- /dev/null
+++ b/anviltray/edge/tests/support.py
@@ -0,0 +1,187 @@
+"""A fleet of edge hosts in one process, with the stand-in of the store and scripted instances."""
+
+import asyncio
+import itertools
+import json
+import socket
+import struct
+
+from anviltray.callers.tests.support import Upstream, call, read_body
+from anviltray.edge import Edge
+from anviltray.platform import load_host_settings
+from standins.store import StoreStandin
+
+SETTINGS = """
+nodeName = "edge-{number}"
+ip = "{ip}"
+zone = "viti-suva"
+region = "viti"
+internalPorts = [{port}, {port}]
+seeds = ["127.0.4.1:1"]
+heartbeatMs = 1500
+bounds = ["drainMs=2000","graceS=3","configApplyMs=2000","retryBudgetRatio=0.2",
+  "budgetWindowS=10","retryBudgetSlack=64","ttl_max_s=5"]
+[zones]
+viti-suva = "viti"
+[listen]
+front = "{ip}:18144"
+readiness = "{ip}:18140"
+directory = "{ip}:18143"
+[provider]
+address = "{store}"
+"""
+SEAL = "Response-Seal: 3e1b.07\r\n"
+
+
+def answer(status="200 OK", body=b"fine", headers=SEAL, after_s=0.0, echo=True):
+    """Returns an answer function of an instance."""
+
+    async def write(request, writer):
+        await asyncio.sleep(after_s)
+        extra = f"Request-Id: {request.headers['request-id']}\r\n" if echo else ""
+        head = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{headers}{extra}\r\n"
+        writer.write(head.encode() + body)
+        await writer.drain()
+
+    return write
+
+
+def refuse(status="503 Service Unavailable"):
+    """Returns the answer of a full instance."""
+    return answer(status, b"", "Not-Executed: 1\r\n")
+
+
+async def reset(request, writer):
+    """Resets the connection instead of an answer."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+    return False
+
+
+def in_turn(*answers):
+    """Returns an answer function that takes the next answer each time and repeats the last."""
+    left = itertools.chain(answers, itertools.repeat(answers[-1]))
+
+    async def write(request, writer):
+        return await next(left)(request, writer)
+
+    return write
+
+
+def registration(address, service="keeper", state="ready", born=1000):
+    """Returns the record of an instance."""
+    return json.dumps(
+        {
+            "address": address,
+            "born": born,
+            "info": {"service": service, "version": "v1", "zone": "viti-suva", "slots": 6},
+            "status": {"state": state, "sequence": 1, "warmupLeftMs": 0},
+        }
+    ).encode()
+
+
+def route(name, kind, service="keeper", timeout_ms=1500):
+    """Returns a route for the path /NAME/."""
+    return {
+        "name": name,
+        "host": "keeper.example",
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": timeout_ms,
+        "targetLatencyMs": 500,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+    }
+
+
+def configuration(version=1, routes=None):
+    """Returns the record of a configuration with the routes /level/ (idempotent) and /order/."""
+    services = [
+        {"name": name, "healthPath": "/health", "maxConns": 390, "protocol": "h1", "tls": False}
+        for name in ("keeper", "supply")
+    ]
+    limits = {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 1048576,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    }
+    routes = routes or [route("level", "safe"), route("order", "unsafe")]
+    document = {"version": f"r{version}", "routes": routes, "services": services, "limits": limits}
+    return json.dumps(document).encode()
+
+
+class Fleet:
+    """Hosts before instances; `answers` has one answer function for each instance."""
+
+    def __init__(self, directory, answers, hosts=1):
+        self.directory, self.answers, self.count = directory, answers, hosts
+        self.store = StoreStandin()
+        self.hosts = []
+
+    async def __aenter__(self):
+        await self.store.start()
+        self.store.put("keyed.op", "config", configuration())
+        self.instances = []
+        for number, function in enumerate(self.answers):
+            instance = await Upstream(function).__aenter__()
+            self.instances.append(instance)
+            self.store.put("keyed.servers", f"i-{number}", registration(instance.address))
+        for number in range(1, self.count + 1):
+            self.hosts.append(await self.start_host(number))
+        for host in self.hosts:
+            await self.until(lambda host=host: not host.not_ready())
+        return self
+
+    async def __aexit__(self, *error):
+        for host in self.hosts:
+            await host.close()
+        for instance in self.instances:
+            await instance.__aexit__()
+        await self.store.close()
+
+    def settings(self, number):
+        path = self.directory / f"{number}.toml"
+        path.write_text(
+            SETTINGS.format(
+                number=number, ip=f"127.0.4.{number}", port=17700, store=self.store.address
+            )
+        )
+        return load_host_settings(path)
+
+    async def start_host(self, number):
+        host = Edge(self.settings(number))
+        await host.start()
+        return host
+
+    async def until(self, condition, limit_s=6.0):
+        deadline_s = asyncio.get_running_loop().time() + limit_s
+        while not condition():
+            assert asyncio.get_running_loop().time() < deadline_s
+            await asyncio.sleep(0.01)
+
+    async def call(self, head, body=b"", host=0, request_id="c1", **headers):
+        headers.setdefault("Deadline_Ms", "3000")
+        address = self.hosts[host].settings.caller_address
+        return await call(address, head, body, Request_Id=request_id, **headers)
+
+    async def page(self, path, host=0, port="readiness_address"):
+        return await call(getattr(self.hosts[host].settings, port), f"GET {path}")
+
+    def received(self):
+        return sum(len(instance.requests) for instance in self.instances)
+
+
+__all__ = [
+    "Fleet",
+    "answer",
+    "configuration",
+    "in_turn",
+    "read_body",
+    "refuse",
+    "registration",
+    "reset",
+    "route",
+]
--- /dev/null
+++ b/anviltray/edge/tests/test_requests.py
@@ -0,0 +1,217 @@
+"""Guards against requests that run twice, untrue refusals and answers that are not whole."""
+
+import asyncio
+
+import pytest
+
+from anviltray.callers.tests.support import encode, raw
+from anviltray.edge.tests.support import (
+    SEAL,
+    Fleet,
+    answer,
+    configuration,
+    in_turn,
+    refuse,
+    registration,
+    reset,
+    route,
+)
+
+LEVEL, ORDER = "GET /level/1", "POST /order/1"
+
+
+def run(tmp_path, test, *answers, hosts=1):
+    async def main():
+        async with Fleet(tmp_path, answers, hosts) as fleet:
+            await asyncio.wait_for(test(fleet), 30)
+
+    asyncio.run(main())
+
+
+CUT = f"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n{SEAL}Request-Id: c1\r\n\r\nfin".encode()
+FOREIGN = f"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n{SEAL}Request-Id: c0\r\n\r\nfine".encode()
+UNFRAMED = f"HTTP/1.1 200 OK\r\n{SEAL}Request-Id: c1\r\n\r\nwhole".encode()
+
+
+async def unframed_reset(request, writer):
+    writer.write(UNFRAMED)
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    return await reset(request, writer)
+
+
+@pytest.mark.parametrize(
+    ("head", "function", "status", "sends"),
+    [
+        (LEVEL, answer(), 200, 1),
+        (ORDER, answer(), 200, 1),
+        (ORDER, answer("404 Not Found"), 404, 1),
+        # After a reset nobody knows whether it ran: only an idempotent request is sent again.
+        (LEVEL, in_turn(reset, answer()), 200, 2),
+        (ORDER, in_turn(reset, answer()), 502, 1),
+        # An instance that says that it has not run the request.
+        (LEVEL, in_turn(refuse(), answer()), 200, 2),
+        (ORDER, in_turn(refuse(), answer()), 200, 2),
+        (ORDER, in_turn(refuse("429 Too Many Requests"), answer()), 200, 2),
+        (ORDER, in_turn(answer("421 Misdirected Request", b"", ""), answer()), 200, 2),
+        (ORDER, refuse(), 503, 2),
+        # The same statuses without that header say nothing.
+        (ORDER, in_turn(answer("503 Service Unavailable"), answer()), 503, 1),
+        (ORDER, in_turn(answer("500 Internal Server Error"), answer()), 500, 1),
+        (LEVEL, in_turn(answer("500 Internal Server Error"), answer()), 200, 2),
+        # Answers that are not whole, not sealed or not the caller's.
+        (ORDER, in_turn(raw(CUT), answer()), 502, 1),
+        (LEVEL, in_turn(raw(CUT), answer()), 200, 2),
+        (ORDER, in_turn(raw(FOREIGN), answer()), 502, 1),
+        (LEVEL, in_turn(raw(FOREIGN), answer()), 200, 2),
+        (ORDER, in_turn(answer(headers=""), answer()), 502, 1),
+        (ORDER, raw(b"no protocol\r\n\r\n"), 502, 1),
+        (ORDER, raw(UNFRAMED), 200, 1),
+        (ORDER, in_turn(unframed_reset, answer()), 502, 1),
+    ],
+)
+def test_answers(tmp_path, head, function, status, sends):
+    async def test(fleet):
+        fleet.hosts[0].state.set_fleet_size(1)
+        response = await fleet.call(head, b"" if head == LEVEL else b"order")
+        assert (response.status, fleet.received()) == (status, sends)
+        if status == 200:
+            assert response.headers["response-seal"] == "3e1b.07"
+            assert response.body in (b"fine", b"whole")
+        if status == 503 and "response-seal" not in response.headers:
+            assert 0 < float(response.headers["retry-after"]) < 5
+
+    run(tmp_path, test, function, function)
+
+
+def test_the_instance_gets_the_request_with_what_is_left_of_the_time(tmp_path):
+    async def test(fleet):
+        await fleet.call("POST /order/a?b=c", b"body", Deadline_Ms="900", X_Own="1")
+        ((line, headers, body),) = fleet.instances[0].requests
+        assert (line, body) == ("POST /order/a?b=c HTTP/1.1", b"body")
+        assert headers["request-id"] == "c1"
+        assert headers["x-own"] == "1"
+        assert headers["expect-instance"] == "i-0"
+        assert headers["host"] == "keeper.example"
+        assert 700 < int(headers["deadline-ms"]) <= 900
+
+    run(tmp_path, test, answer())
+
+
+@pytest.mark.parametrize(("deadline_ms", "expected_s"), [("5000", 1.5), ("600", 0.6)])
+def test_the_answer_comes_when_the_time_is_over(tmp_path, deadline_ms, expected_s):
+    async def test(fleet):
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        response = await fleet.call(ORDER, b"x", Deadline_Ms=deadline_ms)
+        assert response.status == 504
+        assert expected_s - 0.05 <= loop.time() - start_s < expected_s + 0.25
+
+    run(tmp_path, test, answer(after_s=8))
+
+
+@pytest.mark.parametrize(("head", "still_open"), [(LEVEL, 0), (ORDER, 1)])
+def test_the_work_for_a_caller_that_left_ends_if_it_may(tmp_path, head, still_open):
+    async def test(fleet):
+        host, port = fleet.hosts[0].settings.caller_address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(encode(head, b"" if head == LEVEL else b"x", Request_Id="c1"))
+        await fleet.until(lambda: fleet.received() == 1)
+        writer.close()
+        await asyncio.sleep(0.4)
+        # The raw instance notices the end of its connection when it writes.
+        sends = fleet.hosts[0].state.board.of("i-0").outstanding
+        assert sends == still_open
+
+    run(tmp_path, test, answer(after_s=1.0))
+
+
+def test_routes_follow_the_configuration(tmp_path):
+    async def test(fleet):
+        assert (await fleet.call("GET /none/1")).status == 404
+        assert (await fleet.call("GET /levels")).status == 404
+        fleet.store.put("keyed.op", "config", configuration(2, [route("none", "safe")]))
+        await fleet.until(lambda: fleet.hosts[0].follower.version == 2, 2.0)
+        assert (await fleet.call("GET /none/1")).status == 200
+        assert (await fleet.call("GET /level/1")).status == 404
+
+    run(tmp_path, test, answer())
+
+
+def test_no_request_goes_to_a_draining_instance(tmp_path):
+    async def test(fleet):
+        draining = registration(fleet.instances[0].address, state="draining")
+        fleet.store.put("keyed.servers", "i-0", draining)
+        await fleet.until(lambda: len(fleet.hosts[0].state.directory.usable("keeper")) == 1, 2.0)
+        for number in range(20):
+            assert (await fleet.call(ORDER, b"x", request_id=f"c{number}")).status == 200
+        assert not fleet.instances[0].requests
+
+    run(tmp_path, test, answer(), answer())
+
+
+def test_an_instance_whose_address_was_reused_gets_no_more_requests(tmp_path):
+    async def test(fleet):
+        for number in range(10):
+            assert (await fleet.call(ORDER, b"x", request_id=f"c{number}")).status == 200
+        assert len(fleet.instances[0].requests) <= 1
+
+    run(tmp_path, test, answer("421 Misdirected Request", b"", ""), answer())
+
+
+def test_a_failure_seen_by_one_host_is_known_to_the_zone(tmp_path):
+    async def test(fleet):
+        await fleet.until(lambda: all(len(host.exchange.alive()) == 2 for host in fleet.hosts))
+        for number in range(3):
+            await fleet.call(LEVEL, request_id=f"c{number}")
+            await asyncio.sleep(0.02)
+        beliefs = [
+            host.state.board.of("i-0").sickness(asyncio.get_running_loop().time())
+            for host in fleet.hosts
+        ]
+        assert min(beliefs) > 0.8
+
+    run(tmp_path, test, reset, hosts=3)
+
+
+def test_directory_and_readiness(tmp_path):
+    async def test(fleet):
+        await fleet.until(lambda: all(len(host.entry_addresses()) == 2 for host in fleet.hosts))
+        page = await fleet.page(
+            "/v1/resolve?name=x&region=viti&zone=viti-suva", 0, "directory_address"
+        )
+        assert page.status == 200
+        assert b"127.0.4.1:18144" in page.body
+        assert b"127.0.4.2:18144" in page.body
+        assert (await fleet.page("/v1/ready")).status == 200
+        stopping = asyncio.create_task(fleet.hosts[0].stop())
+        await fleet.until(lambda: len(fleet.hosts[1].entry_addresses()) == 1, 0.5)
+        assert (await fleet.page("/v1/ready")).status == 503
+        # Callers that still hold the address are served while the host stops.
+        assert (await fleet.call(ORDER, b"x")).status == 200
+        await stopping
+
+    run(tmp_path, test, answer(), hosts=2)
+
+
+def test_a_stop_cuts_no_request(tmp_path):
+    async def test(fleet):
+        requests = [
+            asyncio.create_task(fleet.call(ORDER, b"x", request_id=f"c{number}"))
+            for number in range(5)
+        ]
+        await fleet.until(lambda: fleet.received() == 5)
+        await fleet.hosts[0].stop()
+        assert [(await request).status for request in requests] == [200] * 5
+
+    run(tmp_path, test, answer(after_s=1.0))
+
+
+def test_metrics(tmp_path):
+    async def test(fleet):
+        await fleet.call(ORDER, b"x")
+        page = await fleet.page("/metrics")
+        assert b'anviltray_requests_total{service="keeper",status="200"} 1.0' in page.body
+        assert b"anviltray_request_seconds_bucket" in page.body
+
+    run(tmp_path, test, answer())
--- /dev/null
+++ b/anviltray/platform/tests/test_documents.py
@@ -0,0 +1,96 @@
+"""Guards against a foreign or damaged record that names an instance or a wrong configuration."""
+
+import pytest
+
+from anviltray.platform import DocumentInvalid, decode_configuration, decode_instance
+from anviltray.platform.tests.documents import REMOVED, configuration, registration
+
+
+def test_configuration():
+    decoded = decode_configuration(configuration())
+    first, second = decoded.routes
+    assert (decoded.version, decoded.limits.idle_timeout_s) == (7, 15.0)
+    assert (first.host, first.prefix, first.idempotent) == ("ficu95.example", "/level/", True)
+    assert [tuple(part) for part in first.destinations] == [("keeper", 90.0), ("supply", 10.0)]
+    assert (second.idempotent, second.timeout_s, second.instance_limit) == (False, 4.0, 2)
+    assert [part.service for part in second.destinations] == ["keeper"]
+    assert decoded.services["supply"].connection_limit == 390
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b"[" * 100_000,
+        configuration(version="12"),
+        configuration(version="rx"),
+        configuration(version=7),
+        configuration(limits=REMOVED),
+        configuration(routes=[{"name": "r"}]),
+        configuration(services=None),
+    ],
+)
+def test_an_invalid_configuration_is_an_error(payload):
+    with pytest.raises(DocumentInvalid):
+        decode_configuration(payload)
+
+
+def test_unknown_kinds_run_once():
+    route = {
+        "name": "r",
+        "host": "h",
+        "pathPrefix": "/",
+        "kind": "stream",
+        "timeoutMs": 1,
+        "targetLatencyMs": 1,
+        "priority": 0,
+        "service": "s",
+        "maxAttempts": 1,
+    }
+    (decoded,) = decode_configuration(configuration(routes=[route])).routes
+    assert not decoded.idempotent
+
+
+@pytest.mark.parametrize(
+    ("state", "draining"),
+    [("ready", False), ("draining", True)],
+)
+def test_instance(state, draining):
+    payload = registration(status__state=state, status__warmupLeftMs=1500)
+    instance = decode_instance("i-1", payload)
+    assert (instance.id, instance.service, instance.address) == ("i-1", "keeper", "10.128.0.9:8080")
+    assert (instance.draining, instance.warmup_s, instance.slots) == (draining, 1.5, 6)
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [
+        b"",
+        b"\x00\xff",
+        b"17",
+        registration(status__state="resting"),
+        registration(status__state=1),
+        registration(status=REMOVED),
+        registration(info=REMOVED),
+        registration(info="x"),
+        registration(info__service=REMOVED),
+        registration(info__service=7),
+        registration(info__service=""),
+        registration(info__slots="6"),
+        registration(info__slots=0),
+        registration(info__slots=True),
+        registration(info__zone=None),
+        registration(info__version=2),
+        registration(status__sequence="4"),
+        registration(status__warmupLeftMs=None),
+        registration(address="somewhere"),
+        registration(address=REMOVED),
+        registration(born="now"),
+        registration(born=1.5),
+    ],
+)
+def test_an_odd_record_names_no_instance(payload):
+    with pytest.raises(DocumentInvalid):
+        decode_instance("i-1", payload)
--- /dev/null
+++ b/anviltray/platform/tests/test_store.py
@@ -0,0 +1,123 @@
+"""Guards against calls to the store whose failure is taken for something else than it is."""
+
+import asyncio
+
+import pytest
+
+from anviltray.platform import (
+    AppendRejected,
+    AppendUnknown,
+    KeyedStore,
+    OffsetTrimmed,
+    PlatformUnavailable,
+)
+from standins.store import StoreConditions, StoreStandin
+
+TIMEOUT_S = 0.3
+
+
+def run(test, **options):
+    """Runs `test(store, standin)`."""
+
+    async def main():
+        standin = StoreStandin(**options)
+        store = KeyedStore(await standin.start(), TIMEOUT_S)
+        try:
+            await asyncio.wait_for(test(store, standin), 20)
+        finally:
+            await store.close()
+            await standin.close()
+
+    asyncio.run(main())
+
+
+def test_newest_reads_all_pages_and_the_end_of_the_first():
+    async def test(store, standin):
+        for number in range(7):
+            standin.put("keyed.t", f"k{number}", b"v%d" % number)
+        standin.put("keyed.t", "k3", b"")
+        newest = await store.newest("keyed.t")
+        assert [record.key for record in newest.records] == ["k0", "k1", "k2", "k4", "k5", "k6"]
+        assert newest.records[3].payload == b"v4"
+        assert newest.end == 8
+
+    run(test, page_size=2)
+
+
+def test_read_returns_records_removals_and_the_next_offset():
+    async def test(store, standin):
+        standin.put("keyed.t", "a", b"1")
+        standin.put("keyed.t", "a", b"")
+        batch = await store.read("keyed.t", 0, 0.0)
+        assert [tuple(record) for record in batch.records] == [("a", b"1"), ("a", None)]
+        assert (batch.next_offset, batch.end) == (2, 2)
+        assert (await store.read("keyed.t", 2, 0.0)).records == ()
+
+    run(test)
+
+
+def test_a_read_waits_for_the_first_record():
+    async def test(store, standin):
+        reading = asyncio.create_task(store.read("keyed.t", 0, 5.0))
+        await asyncio.sleep(0.1)
+        assert not reading.done()
+        standin.put("keyed.t", "a", b"1")
+        assert len((await reading).records) == 1
+
+    run(test)
+
+
+def test_an_append_is_read_back():
+    async def test(store, standin):
+        await store.append("keyed.t", "10.0.0.1", b"viti-suva")
+        newest = await store.newest("keyed.t")
+        assert [tuple(record) for record in newest.records] == [("10.0.0.1", b"viti-suva")]
+
+    run(test)
+
+
+def test_deleted_records_are_told_apart_from_an_outage():
+    async def test(store, standin):
+        standin.put("keyed.t", "a", b"1")
+        standin.forget_history("keyed.t")
+        with pytest.raises(OffsetTrimmed):
+            await store.read("keyed.t", 0, 0.0)
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("conditions", "append_error", "applied"),
+    [
+        (StoreConditions(status=503), PlatformUnavailable, False),
+        (StoreConditions(status=429), AppendRejected, False),
+        (StoreConditions(status=507), AppendRejected, False),
+        (StoreConditions(silent=True), AppendUnknown, False),
+        (StoreConditions(resets=True), AppendUnknown, False),
+        (StoreConditions(lost_answers=True), AppendUnknown, True),
+    ],
+)
+def test_failures(conditions, append_error, applied):
+    async def test(store, standin):
+        standin.conditions = conditions
+        with pytest.raises(append_error):
+            await store.append("keyed.t", "a", b"1")
+        assert ("a" in standin.topics.get("keyed.t", standin).__dict__.get("newest", ())) == applied
+        if not conditions.lost_answers:
+            with pytest.raises(PlatformUnavailable):
+                await store.newest("keyed.t")
+            with pytest.raises(PlatformUnavailable):
+                await store.read("keyed.t", 0, 0.0)
+        standin.conditions = StoreConditions()
+        await store.append("keyed.t", "b", b"2")  # The next call opens a new connection.
+
+    run(test)
+
+
+def test_a_store_that_nobody_listens_to_is_unavailable():
+    async def test(store, standin):
+        await standin.close()
+        with pytest.raises(PlatformUnavailable):
+            await store.append("keyed.t", "a", b"1")
+
+    run(test)
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -19,7 +19,6 @@
     StoreSnapshot,
 )
 from anviltray.platform import (
-    AppendUnknown,
     DocumentInvalid,
     KeyedStore,
     OffsetTrimmed,
@@ -132,39 +131,44 @@
 
     async def run(self) -> None:
         """Loads and then follows until cancelled."""
-        await self._join()
-        await self._load()
-        await asyncio.gather(self._follow_instances(), self._follow_configuration())
+        joining = asyncio.create_task(self._join())
+        try:
+            # A seed may name the hosts of the zone while this one cannot reach the store.
+            while not joining.done() and not self._exchange.alive():
+                await asyncio.wait({joining}, timeout=_TICK_S)
+            await self._load()
+            await asyncio.gather(joining, self._follow_instances(), self._follow_configuration())
+        finally:
+            joining.cancel()
 
     # Start
 
     async def _join(self) -> None:
-        """Learns the hosts of the fleet and adds this one, without which no zone forms."""
+        """Adds this host to the fleet and learns the others.
+
+        The write comes first: of two hosts that start at the same moment, at least the one that
+        writes last finds the other one, and its beacon introduces it.
+        """
         pause_s = _RETRY_S[0]
+        joined = False
         while True:
             try:
+                if not joined:
+                    zone = self._own.zone.encode()
+                    await self._call(self._store.append(names.HOST_TOPIC, self._own.address, zone))
+                    joined = True
                 newest = await self._call(self._store.newest(names.HOST_TOPIC))
-                places = {
-                    record.key: record.payload.decode("utf-8", "replace")
-                    for record in newest.records
-                    if record.payload
-                }
-                self._exchange.hosts.add(HostPlace(*item) for item in places.items())
-                if places.get(self._own.address) != self._own.zone:
-                    await self._call(
-                        self._store.append(
-                            names.HOST_TOPIC, self._own.address, self._own.zone.encode()
-                        )
-                    )
                 break
-            except AppendUnknown as error:
-                _log.warning("joining: {}", error)  # The next round reads whether it took effect.
             except PlatformError as error:
+                # An append with an unknown result is repeated; the same record twice is harmless.
                 _log.warning("joining: {}", error)
-                if self._exchange.alive():
-                    break  # A seed named the hosts of the zone; they hear of this one by beacon.
             await asyncio.sleep(pause_s * (1 + self._rng.random()))
             pause_s = min(2 * pause_s, _RETRY_S[1])
+        self._exchange.hosts.add(
+            HostPlace(record.key, record.payload.decode("utf-8", "replace"))
+            for record in newest.records
+            if record.payload
+        )
         self._exchange.send_beacon()
 
     async def _load(self) -> None:
--- /dev/null
+++ b/anviltray/zone/tests/test_follower.py
@@ -0,0 +1,219 @@
+"""Guards against hosts that miss a change, go back to an older one or all read the store."""
+
+import asyncio
+import random
+
+import pytest
+
+from anviltray.decisions.instances import InstanceDirectory
+from anviltray.messages import HostBeacon, HostPlace
+from anviltray.platform import KeyedStore
+from anviltray.platform.tests.documents import configuration, registration
+from anviltray.zone import StoreFollower, ZoneExchange
+from standins.store import StoreConditions, StoreStandin
+
+PORT = 17660
+# What the platform demands: a configuration is in force everywhere after this.
+CONFIGURATION_S = 2.0
+DRAIN_S = 2.0
+
+
+class Host:
+    """A follower with its exchange, without the request path."""
+
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        self.address = f"127.0.3.{number}"
+        self.incarnation = random.getrandbits(60)
+        self.sequence = 0
+        place = HostPlace(self.address, "suva")
+        self.exchange = ZoneExchange(place, PORT, self.beacon)
+        self.directory = InstanceDirectory()
+        self.store = KeyedStore(fleet.store.address, 0.5)
+        self.follower = StoreFollower(
+            place, self.store, self.exchange, self.directory, self.fetch, random.Random(number)
+        )
+        self.versions = []
+        self.follower.on_configuration(lambda new: self.versions.append(new.version))
+        self.tasks = []
+
+    def beacon(self, answer):
+        self.sequence += 1
+        follower = self.follower
+        return HostBeacon(
+            self.address,
+            self.incarnation,
+            self.sequence,
+            "suva",
+            f"{self.address}:80",
+            "ready",
+            follower.reaches_store,
+            follower.version,
+            follower.instances_offset,
+            follower.read_age_s(),
+            answer,
+        )
+
+    async def fetch(self, address):
+        return self.fleet.host(address).follower.snapshot()
+
+    async def start(self):
+        await self.exchange.start()
+        self.tasks = [
+            asyncio.create_task(self.exchange.run()),
+            asyncio.create_task(self.follower.run()),
+        ]
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.exchange.close()
+        await self.store.close()
+
+    def usable(self):
+        return [instance.id for instance in self.directory.usable("keeper")]
+
+
+class Fleet:
+    def __init__(self, count):
+        self.store = StoreStandin()
+        self.count = count
+
+    def host(self, address):
+        return next(host for host in self.hosts if host.address == address)
+
+    async def __aenter__(self):
+        await self.store.start()
+        self.store.put("keyed.op", "config", configuration())
+        self.store.put("keyed.servers", "i-1", registration())
+        self.store.put("keyed.servers", "alien", b"\xff")
+        self.hosts = [Host(self, number + 1) for number in range(self.count)]
+        for host in self.hosts:
+            await host.start()
+        await self.until(lambda host: host.usable() == ["i-1"] and host.versions == [7], 6)
+        return self
+
+    async def __aexit__(self, *error):
+        for host in self.hosts:
+            await host.stop()
+        await self.store.close()
+
+    async def until(self, condition, limit_s):
+        """Waits until all hosts meet the condition and returns the time it took."""
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        while not all(condition(host) for host in self.hosts):
+            assert loop.time() - start_s < limit_s, [host.versions for host in self.hosts]
+            await asyncio.sleep(0.01)
+        return loop.time() - start_s
+
+
+def run(test, count=4):
+    async def main():
+        async with Fleet(count) as fleet:
+            await asyncio.wait_for(test(fleet), 40)
+
+    asyncio.run(main())
+
+
+def test_one_host_reads_and_all_know():
+    async def test(fleet):
+        await asyncio.sleep(1.5)
+        fleet.store.calls.clear()
+        await asyncio.sleep(3.0)
+        # One host reads registrations every 0.75 s and waits 1.2 s for a configuration.
+        assert len(fleet.store.calls) <= 10
+        fleet.store.put("keyed.servers", "i-1", registration(status__state="draining"))
+        await fleet.until(lambda host: host.usable() == [], DRAIN_S)
+        fleet.store.put("keyed.op", "config", configuration(version="r9"))
+        await fleet.until(lambda host: host.versions == [7, 9], CONFIGURATION_S)
+
+    run(test)
+
+
+@pytest.mark.parametrize("broken", ["status", "silent", "resets"])
+def test_the_zone_follows_while_one_host_is_refused(broken):
+    async def test(fleet):
+        # Each host in turn has its own store that fails, so the reader is among them.
+        conditions = StoreConditions(**{broken: 503 if broken == "status" else True})
+        other = StoreStandin()
+        other.conditions = conditions
+        await other.start()
+        for number, victim in enumerate(fleet.hosts):
+            healthy, victim.follower._store = victim.follower._store, KeyedStore(other.address, 0.3)
+            fleet.store.put("keyed.op", "config", configuration(version=f"r{10 + number}"))
+            await fleet.until(
+                lambda host, version=10 + number: host.versions[-1] == version,
+                3 * CONFIGURATION_S,
+            )
+            await victim.follower._store.close()
+            victim.follower._store = healthy
+        await other.close()
+
+    run(test)
+
+
+def test_an_older_configuration_is_never_taken():
+    async def test(fleet):
+        fleet.store.put("keyed.op", "config", configuration(version="r9"))
+        await fleet.until(lambda host: host.versions == [7, 9], CONFIGURATION_S)
+        fleet.store.put("keyed.op", "config", configuration(version="r8"))
+        fleet.store.put("keyed.op", "config", b"damaged")
+        await asyncio.sleep(1.0)
+        assert all(host.versions == [7, 9] for host in fleet.hosts)
+        fleet.store.forget_history("keyed.op")
+        fleet.store.put("keyed.op", "config", configuration(version="r12"))
+        await fleet.until(lambda host: host.versions == [7, 9, 12], 2 * CONFIGURATION_S)
+
+    run(test)
+
+
+def test_forgotten_history_is_replaced_by_the_newest_records():
+    async def test(fleet):
+        fleet.store.put("keyed.servers", "i-1", b"")
+        fleet.store.put("keyed.servers", "i-2", registration())
+        fleet.store.forget_history("keyed.servers")
+        await fleet.until(lambda host: host.usable() == ["i-2"], 3.0)
+
+    run(test)
+
+
+def test_a_stale_answer_changes_nothing():
+    async def test(fleet):
+        fleet.store.put("keyed.servers", "i-2", registration())
+        await fleet.until(lambda host: host.usable() == ["i-1", "i-2"], 3.0)
+        fleet.store.conditions = StoreConditions(stale_offsets=1)
+        await asyncio.sleep(1.5)
+        assert all(host.usable() == ["i-1", "i-2"] for host in fleet.hosts)
+
+    run(test)
+
+
+def test_registrations_that_lapse_during_an_outage_are_kept_until_their_renewal_is_overdue():
+    async def test(fleet):
+        fleet.store.conditions = StoreConditions(status=503)
+        await asyncio.sleep(3.5)
+        fleet.store.put("keyed.servers", "i-1", b"")
+        fleet.store.conditions = StoreConditions()
+        await asyncio.sleep(1.0)
+        assert all(host.usable() == ["i-1"] for host in fleet.hosts)
+        fleet.store.put("keyed.servers", "i-1", registration())
+        await asyncio.sleep(4.0)
+        assert all(host.usable() == ["i-1"] for host in fleet.hosts)
+        fleet.store.put("keyed.servers", "i-1", b"")
+        await fleet.until(lambda host: host.usable() == [], DRAIN_S)
+
+    run(test, count=3)
+
+
+def test_a_host_that_starts_without_the_store_asks_its_neighbours():
+    async def test(fleet):
+        fleet.store.conditions = StoreConditions(status=503)
+        late = Host(fleet, 20)
+        fleet.hosts.append(late)
+        await late.start()
+        late.exchange.ask_hosts(("127.0.3.1",))
+        await fleet.until(lambda host: host.usable() == ["i-1"] and host.versions == [7], 5.0)
+
+    run(test, count=3)
--- /dev/null
+++ b/standins/store/_application.py
@@ -0,0 +1,170 @@
+"""HTTP interface of the store stand-in, by the platform's published protocol."""
+
+import asyncio
+import base64
+import struct
+from typing import NamedTuple
+
+import falcon
+import falcon.asgi
+
+from standins._serving import HttpServer, abort_connection
+
+_SILENCE_LIMIT_S = 120.0
+_POLL_S = 0.01
+
+
+class StoreConditions(NamedTuple):
+    """How the store behaves."""
+
+    status: int = 0  # Every call is answered with this status and has no effect; 0 is normal.
+    silent: bool = False  # Calls get no answer and have no effect.
+    resets: bool = False  # Connections are reset instead of an answer, without effect.
+    lost_answers: bool = False  # Calls take effect and their connection is reset.
+    delay_s: float = 0.0  # Delay of every answer.
+    stale_offsets: int = 0  # Reads see the state that many records ago.
+
+
+class _Topic:
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[tuple[str, bytes]] = []  # Key and value from `first` on.
+        self.newest: dict[str, tuple[bytes, int]] = {}  # Value and offset of each key.
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+    def append(self, key: str, value: bytes) -> int:
+        offset = self.end
+        self.records.append((key, value))
+        if value:
+            self.newest[key] = (value, offset)
+        else:
+            self.newest.pop(key, None)
+        return offset
+
+
+class StoreStandin:
+    """The store in one process; `page_size` limits the keys of one page."""
+
+    def __init__(self, address: str = "127.0.0.1:0", page_size: int = 500) -> None:
+        self.conditions = StoreConditions()
+        self.topics: dict[str, _Topic] = {}
+        self.calls: list[str] = []  # Method and path of each call.
+        self.page_size = page_size
+        application = falcon.asgi.App()
+        application.add_route("/v1/log-append", _Append(self))
+        application.add_route("/v1/log-read", _Read(self))
+        application.add_route("/v1/log-newest", _Newest(self))
+        self._server = HttpServer(application, address)
+
+    @property
+    def address(self) -> str:
+        """IP:port of the stand-in."""
+        return self._server.address
+
+    async def start(self) -> str:
+        """Listens and returns the address."""
+        return await self._server.start()
+
+    async def close(self) -> None:
+        """Stops listening and resets all connections."""
+        await self._server.close()
+
+    def put(self, topic: str, key: str, value: bytes) -> int:
+        """Appends a record without a call and returns its offset; no value removes the key."""
+        return self.topics.setdefault(topic, _Topic()).append(key, value)
+
+    def forget_history(self, topic: str) -> None:
+        """Drops all records; the newest of each key stays."""
+        found = self.topics.setdefault(topic, _Topic())
+        found.first, found.records = found.end, []
+
+    async def admit(self, request: falcon.asgi.Request) -> _Topic | None:
+        """Applies the conditions; None if the connection was reset."""
+        conditions = self.conditions
+        self.calls.append(f"{request.method} {request.path}")
+        if conditions.silent:
+            await asyncio.sleep(_SILENCE_LIMIT_S)
+        if conditions.resets:
+            abort_connection(request)
+            return None
+        if conditions.status:
+            raise falcon.HTTPError(conditions.status, title="condition")
+        await asyncio.sleep(conditions.delay_s)
+        topic: str = request.get_param("topic", required=True)
+        return self.topics.setdefault(topic, _Topic())
+
+
+def encode_record(key: str, value: bytes) -> bytes:
+    """Returns a record as it goes over the wire."""
+    name = key.encode()
+    content = bytes((len(name),)) + name + value
+    return struct.pack(">I", len(content)) + content
+
+
+class _Resource:
+    def __init__(self, standin: StoreStandin) -> None:
+        self._standin = standin
+
+
+class _Append(_Resource):
+    async def on_post(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        body = await request.stream.read()
+        topic = await self._standin.admit(request)
+        if topic is None:
+            return
+        (length,) = struct.unpack_from(">I", body)
+        content = body[4 : 4 + length]
+        end = 1 + content[0]
+        offset = topic.append(content[1:end].decode(), content[end:])
+        if self._standin.conditions.lost_answers:
+            abort_connection(request)
+            return
+        response.media = {"offset": offset, "end": topic.end}
+
+
+class _Read(_Resource):
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        topic = await self._standin.admit(request)
+        if topic is None:
+            return
+        offset = request.get_param_as_int("from", required=True)
+        wait_s = request.get_param_as_int("waitMs", default=0) / 1000
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + wait_s
+        while topic.end <= offset and loop.time() < until_s:  # noqa: ASYNC110
+            await asyncio.sleep(_POLL_S)
+        if offset < topic.first:
+            response.status = falcon.HTTP_410
+            response.media = {"first": topic.first}
+            return
+        end = topic.end - self._standin.conditions.stale_offsets
+        records = topic.records[offset - topic.first : max(0, end - topic.first)]
+        response.content_type = "application/octet-stream"
+        response.data = struct.pack(">QQ", end, topic.first) + b"".join(
+            encode_record(key, value) for key, value in records
+        )
+
+
+class _Newest(_Resource):
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        topic = await self._standin.admit(request)
+        if topic is None:
+            return
+        after = request.get_param("after", default="")
+        keys = [key for key in sorted(topic.newest) if key > after]
+        page = keys[: self._standin.page_size]
+        response.media = {
+            "items": [
+                {
+                    "key": key,
+                    "value": base64.b64encode(topic.newest[key][0]).decode(),
+                    "offset": topic.newest[key][1],
+                }
+                for key in page
+            ],
+            "more": len(page) < len(keys),
+            "end": topic.end - self._standin.conditions.stale_offsets,
+        }
