--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -25,9 +25,13 @@
 # nothing was heard for the pause.
 _EXPLORE_SICKNESS = 0.15
 _EXPLORE_PAUSE_S = 0.8
+# Where no idempotent request could test an instance, another one does after this pause; the mean sick
+# phase is over by then, and without a test the instance would not return to service.
+_BLIND_PAUSE_S = 8.0
 # Part of the time left that the expected response time may take, by priority: when there is not
 # room for all, the less urgent requests are turned away first.
 _PATIENCE = (0.9, 0.75, 0.6)
+_WORK_SHARE = 0.5  # The work is taken for no more than this part of the allowed time.
 _LEAST_RETRY_AFTER_S = 0.2
 _RETRY_SPREAD = 0.5  # Retries are spread over this part of the delay, so that they do not collide.
 
@@ -48,6 +52,7 @@
     priority: int  # 0 is the most urgent.
     remaining_s: float  # Time until the caller gives up.
     exclude: frozenset[str] = frozenset()  # Instances that were tried.
+    only_explorer: bool = False  # The service has no repeatable requests that could explore.
 
 
 class Placed(NamedTuple):
@@ -110,14 +115,16 @@
         ]
         if not candidates:
             return TurnedAway(self._retry_after_s(_LEAST_RETRY_AFTER_S), 0.0, 0)
-        if request.explores:
-            tested = self._explore(now_s, candidates)
+        if request.explores or request.only_explorer:
+            pause_s = _EXPLORE_PAUSE_S if request.explores else _BLIND_PAUSE_S
+            tested = self._explore(now_s, candidates, pause_s)
             if tested is not None:
                 return _placed(now_s, tested, explores=True)
         best = min(candidates, key=lambda candidate: candidate.cost)
-        expected_s = self._expected_s(request.service, best.load)
-        if expected_s > request.remaining_s * _PATIENCE[min(request.priority, 2)]:
-            excess_s = expected_s - request.remaining_s * _PATIENCE[min(request.priority, 2)]
+        allowed_s = request.remaining_s * _PATIENCE[min(request.priority, 2)]
+        expected_s = self._expected_s(request.service, best.load, allowed_s)
+        if expected_s > allowed_s:
+            excess_s = expected_s - allowed_s
             return TurnedAway(self._retry_after_s(excess_s), expected_s, len(candidates))
         return _placed(now_s, best, explores=False)
 
@@ -138,14 +145,16 @@
             return 0
         return 1 if self._zone_regions.get(instance.zone) == self._place.region else 2
 
-    def _explore(self, now_s: float, candidates: Sequence[_Candidate]) -> _Candidate | None:
+    def _explore(
+        self, now_s: float, candidates: Sequence[_Candidate], pause_s: float
+    ) -> _Candidate | None:
         """Returns the doubtful instance of the own zone that was heard of least recently."""
         due = [
             item
             for item in candidates
             if item.instance.zone == self._place.zone
             and item.load <= 1
-            and now_s - max(item.evidence.explored_s, item.evidence.updated_s) > _EXPLORE_PAUSE_S
+            and now_s - max(item.evidence.explored_s, item.evidence.updated_s) > pause_s
             and item.evidence.sickness(now_s) > _EXPLORE_SICKNESS
         ]
         if not due:
@@ -154,8 +163,14 @@
         tested.evidence.explored_s = now_s
         return tested
 
-    def _expected_s(self, service: str, load: float) -> float:
-        return self._board.mean_latency_s(service) * max(1.0, load)
+    def _expected_s(self, service: str, load: float, allowed_s: float) -> float:
+        """Returns the expected response time.
+
+        The work of one request is not known, so that a caller with little time is not refused
+        because other requests of the service take long; only the wait before it counts in full.
+        """
+        mean_s = self._board.mean_latency_s(service)
+        return max(0.0, load - 1) * mean_s + min(mean_s, _WORK_SHARE * allowed_s)
 
     def _retry_after_s(self, delay_s: float) -> float:
         delay_s = max(_LEAST_RETRY_AFTER_S, delay_s)
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -34,7 +34,7 @@
 _ANSWER_LIFETIME_S = 2.0
 _DIRECTORY_ADDRESSES = 64  # More addresses in one answer are not read.
 # News about instances is collected this long before it goes to the zone; failures go at once.
-_OBSERVATION_INTERVAL_S = 0.1
+_OBSERVATION_INTERVAL_S = 0.2
 _STATISTICS_INTERVAL_S = 10.0
 _STORE_TIMEOUT_S = 1.5
 _CONNECT_TIMEOUT_S = 0.4  # The longest round trip is 16 ms; a dark instance must not cost more.
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -17,7 +17,10 @@
 
 # Part of the fleet's retry share that a host uses of what its own requests earn. The rest covers
 # requests that are counted in another window than their retry.
-_SHARE_USED = 0.9
+_SHARE_USED = 0.8
+# The budget forgets in steps of a tenth of its window, so that its window has to be longer than the
+# one in which the fleet is judged.
+_WINDOW_FACTOR = 1.12
 # Part of the fleet's retry slack that is given out; the rest is for hosts that are not known yet.
 _SLACK_USED = 0.6
 # Extra sends that stay reserved for requests that an instance has refused.
@@ -45,6 +48,7 @@
         self._routes = PrefixIndex()
         self._rng = rng
         self._slack = 0.0
+        self._explored_services: set[str] = set()
         self._shares: dict[str, WeightedChoice] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -54,6 +58,12 @@
         self._routes = PrefixIndex(configuration.routes)
         known = self._shares
         self._shares = {}
+        self._explored_services = {
+            destination.service
+            for route in configuration.routes
+            if route.idempotent
+            for destination in route.destinations
+        }
         for route in configuration.routes:
             choice = known.get(route.name)
             if choice is None or choice.destinations != route.destinations:
@@ -74,7 +84,8 @@
         if budget is None:
             guarantees = self.settings.guarantees
             budget = self._budgets[service] = RetryBudget(
-                share=guarantees.retry_share * _SHARE_USED, window_s=guarantees.retry_window_s
+                share=guarantees.retry_share * _SHARE_USED,
+                window_s=guarantees.retry_window_s * _WINDOW_FACTOR,
             )
             budget.slack = self._slack
         return budget
@@ -86,6 +97,10 @@
             budget.slack = self._slack
         self.upstreams.set_nodes(hosts)
 
+    def has_explorers(self, service: str) -> bool:
+        """Tells whether idempotent requests go to a service."""
+        return service in self._explored_services
+
     def may_explore(self, now_s: float, service: str) -> bool:
         """Tells whether a request may go to a doubtful instance and then be sent once more."""
         return self.retry_budget(service).left(now_s) >= _EXPLORE_RESERVE
--- a/anviltray/zone/_exchange.py
+++ b/anviltray/zone/_exchange.py
@@ -25,7 +25,7 @@
 
 _log = logbook.Logger("anviltray.zone")
 
-BEACON_INTERVAL_S = 0.4
+BEACON_INTERVAL_S = 0.5
 # Datagrams above this size are fragmented, and one lost fragment loses all.
 DATAGRAM_BYTES = 8192
 
