--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -25,8 +25,8 @@
 # nothing was heard for the pause.
 _EXPLORE_SICKNESS = 0.15
 _EXPLORE_PAUSE_S = 0.8
-# Where no idempotent request could test an instance, another one does after this pause; the mean sick
-# phase is over by then, and without a test the instance would not return to service.
+# Where no idempotent request could test an instance, another one does after this pause. The mean
+# sick phase is over by then, and without a test the instance would not return to service.
 _BLIND_PAUSE_S = 8.0
 # Part of the time left that the expected response time may take, by priority: when there is not
 # room for all, the less urgent requests are turned away first.
--- a/anviltray/decisions/placement/tests/test_placement.py
+++ b/anviltray/decisions/placement/tests/test_placement.py
@@ -113,6 +113,16 @@
     assert again.instance.id == "i-2"  # One test at a time.
 
 
+def test_without_idempotent_requests_another_one_tests_after_the_sick_phase():
+    host = Host()
+    host.believe(1.0, "i-1", True)
+    both = [instance(1), instance(2)]
+    wanted = request()._replace(only_explorer=True)
+    for now_s, expected in [(2.0, "i-2"), (8.5, "i-2"), (10.0, "i-1"), (10.1, "i-2")]:
+        host.believe(now_s, "i-2", False)
+        assert host.choose(now_s, wanted, both).instance.id == expected, now_s
+
+
 @pytest.mark.parametrize(
     ("outstanding", "remaining_s", "turned_away"),
     [
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -183,6 +183,7 @@
                 call.route.priority,
                 call.remaining_s(now_s),
                 exclude,
+                only_explorer=sends == 0 and not state.has_explorers(call.service),
                 only_explorer=not state.has_explorers(call.service),
             )
             placed = state.placement.choose(now_s, request, state.directory.usable(call.service))
--- a/anviltray/telemetry/_logs.py
+++ b/anviltray/telemetry/_logs.py
@@ -15,6 +15,18 @@
 
 def _json_line(record: Any, _handler: object) -> str:
     """Returns one JSON object with the record's time, level, channel, message and extra fields."""
+    fields = {
+        "time": f"{record.time:%Y-%m-%dT%H:%M:%S.%f}Z",
+        "level": record.level_name.lower(),
+        "channel": record.channel,
+        "message": record.message,
+        **{key: str(value) for key, value in record.extra.items()},
+    }
+    return _encode(record, fields)
+
+
+def _typed_json_line(record: Any, _handler: object) -> str:
+    """Returns the same object with the numbers, lists and objects of the extra fields."""
     fields = {
         "time": f"{record.time:%Y-%m-%dT%H:%M:%S.%f}Z",
         "level": record.level_name.lower(),
@@ -22,6 +34,10 @@
         "message": record.message,
         **{key: _plain(value) for key, value in record.extra.items()},
     }
+    return _encode(record, fields)
+
+
+def _encode(record: Any, fields: dict[str, Any]) -> str:
     if record.exc_info:
         fields["exception"] = str(record.formatted_exception)
     return json.dumps(fields, ensure_ascii=False)
@@ -88,7 +104,7 @@
     """Installs a handler that writes JSON lines to standard output and returns it."""
     output = BoundedOutput(sys.stdout.fileno(), lines_s)
     handler = logbook.StreamHandler(output, level=logbook.lookup_level(level.upper()))
-    handler.formatter = _json_line
+    handler.formatter = _typed_json_line
     handler.push_application()
     return handler
 
