--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -184,7 +184,6 @@
                 call.remaining_s(now_s),
                 exclude,
                 only_explorer=sends == 0 and not state.has_explorers(call.service),
-                only_explorer=not state.has_explorers(call.service),
             )
             placed = state.placement.choose(now_s, request, state.directory.usable(call.service))
             if isinstance(placed, TurnedAway):
