--- a/anviltray/decisions/placement/_evidence.py
+++ b/anviltray/decisions/placement/_evidence.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Mapping
 
 from anviltray.decisions._types import ExchangeOutcome
-from anviltray.messages import InstanceObservation
+from anviltray.messages import InstanceBelief, InstanceObservation
 
 # A request that has been in flight for this long was accepted: instances that reset requests do so
 # within milliseconds.
@@ -41,6 +41,13 @@
     ExchangeOutcome.SERVER_ERROR: _SERVER_ERROR,
     ExchangeOutcome.OK: _GOOD,
 }
+# A refusal for load shows work that this zone does not know of. It counts like this many requests
+# for each slot, and half as much after the half-life.
+_REFUSAL_LOAD = 1.0
+_REFUSAL_LOAD_LIMIT = 3.0
+_REFUSAL_HALF_LIFE_S = 0.5
+# What the own zone has seen of an instance goes before the belief of another zone for this long.
+_OWN_EVIDENCE_S = 2.0
 _LOG_ODDS_LIMIT = 6.0  # Bounds the belief, so that a change is noticed after few requests.
 
 _LATENCY_WEIGHT = 0.1  # Weight of one latency in the mean of a service.
@@ -53,18 +60,26 @@
     __slots__ = (
         "_log_odds",
         "_peers",
+        "_refusal_load",
+        "_refused_s",
         "_updated_s",
         "explored_s",
+        "learned_s",
         "news",
         "outstanding",
         "peer_outstanding",
+        "refusals",
     )
 
     def __init__(self) -> None:
         self.outstanding = 0  # Requests in flight from this host.
         self.peer_outstanding = 0  # Those from the other hosts of the zone.
         self.explored_s = float("-inf")  # Last request sent to learn its state.
+        self.learned_s = float("-inf")  # Newest evidence of the own zone.
         self.news = 0.0  # Log-likelihood ratio that was not reported yet.
+        self.refusals = 0  # Refusals that were not reported yet.
+        self._refusal_load = 0.0  # Requests for each slot as of `_refused_s`.
+        self._refused_s = 0.0
         self._log_odds = math.log(SICK_SHARE / (1 - SICK_SHARE))
         self._updated_s = float("-inf")
         self._peers: dict[str, int] = {}
@@ -90,8 +105,28 @@
         sickness = self.sickness(now_s)
         log_odds = math.log(sickness / (1 - sickness)) + log_likelihood_ratio
         self._log_odds = max(-_LOG_ODDS_LIMIT, min(_LOG_ODDS_LIMIT, log_odds))
+        self._updated_s = self.learned_s = now_s
+
+    def adopt(self, now_s: float, sickness: float) -> None:
+        """Takes the belief of the zone in which the instance is."""
+        if now_s - self.learned_s < _OWN_EVIDENCE_S or not 0 < sickness < 1:
+            return
+        log_odds = math.log(sickness / (1 - sickness))
+        self._log_odds = max(-_LOG_ODDS_LIMIT, min(_LOG_ODDS_LIMIT, log_odds))
         self._updated_s = now_s
 
+    def refused(self, now_s: float, count: int) -> None:
+        """Takes refusals for load."""
+        load = self.refusal_load(now_s) + count * _REFUSAL_LOAD
+        self._refusal_load = min(_REFUSAL_LOAD_LIMIT, load)
+        self._refused_s = now_s
+
+    def refusal_load(self, now_s: float) -> float:
+        """Returns the requests for each slot that recent refusals show beyond the known ones."""
+        if self._refusal_load == 0.0:
+            return 0.0
+        return float(self._refusal_load * 0.5 ** ((now_s - self._refused_s) / _REFUSAL_HALF_LIFE_S))
+
     def set_peer(self, host: str, outstanding: int) -> None:
         """Sets the requests in flight from another host."""
         if outstanding:
@@ -152,7 +187,11 @@
         ratio = _EVIDENCE.get(outcome, 0.0)
         if ratio:
             self._learn(now_s, instance, ratio)
-        if outcome is ExchangeOutcome.OK:
+        if outcome is ExchangeOutcome.REFUSED:
+            self.of(instance).refused(now_s, 1)
+            self.of(instance).refusals += 1
+            self.urgent = True
+        elif outcome is ExchangeOutcome.OK:
             mean_s = self.mean_latency_s(service)
             self._latency_s[service] = mean_s + _LATENCY_WEIGHT * (latency_s - mean_s)
 
@@ -169,8 +208,12 @@
         observations = []
         for instance in sorted(self._changed):
             evidence = self.of(instance)
-            observations.append(InstanceObservation(instance, evidence.outstanding, evidence.news))
-            evidence.news = 0.0
+            observations.append(
+                InstanceObservation(
+                    instance, evidence.outstanding, evidence.news, evidence.refusals
+                )
+            )
+            evidence.news, evidence.refusals = 0.0, 0
         self._changed.clear()
         self.urgent = False
         return tuple(observations)
@@ -184,6 +227,25 @@
             evidence.set_peer(host, observation.outstanding)
             if observation.log_likelihood_ratio:
                 evidence.learn(now_s, observation.log_likelihood_ratio)
+            if observation.refusals > 0:
+                evidence.refused(now_s, observation.refusals)
+
+    def beliefs(self, now_s: float, instances: Iterable[str]) -> tuple[InstanceBelief, ...]:
+        """Returns what this zone believes about instances of which it has fresh evidence."""
+        found = []
+        for instance in instances:
+            evidence = self.of(instance)
+            if now_s - evidence.learned_s < _RELAXATION_S:
+                sickness = round(evidence.sickness(now_s), 3)
+                found.append(InstanceBelief(instance, sickness, evidence.total_outstanding))
+        return tuple(found)
+
+    def zone_beliefs(self, now_s: float, zone: str, beliefs: Iterable[InstanceBelief]) -> None:
+        """Takes the beliefs of another zone about its instances."""
+        for belief in beliefs:
+            evidence = self.of(belief.instance)
+            evidence.adopt(now_s, belief.sickness)
+            evidence.set_peer(zone, belief.outstanding)
 
     def peer_gone(self, host: str) -> None:
         """Forgets the requests in flight from a host that has ended or is cut off."""
--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -133,7 +133,7 @@
         slots = float(instance.slots)
         if self._warmth.warming(now_s, instance.id):
             slots *= _WARMING_SPEED
-        load = (evidence.total_outstanding + 1) / slots
+        load = (evidence.total_outstanding + 1) / slots + evidence.refusal_load(now_s)
         cost = max(0.0, load - 1) + _BUSY_COST * load + _DISTANCE_COST[self._distance(instance)]
         failure_cost = _REPEAT_COST if request.repeatable else _LOSS_COST
         cost += failure_cost * evidence.sickness(now_s)
--- a/anviltray/decisions/placement/tests/test_evidence.py
+++ b/anviltray/decisions/placement/tests/test_evidence.py
@@ -5,6 +5,7 @@
 from anviltray.decisions import ExchangeOutcome
 from anviltray.decisions.placement import EvidenceBoard
 from anviltray.decisions.placement._evidence import SICK_SHARE
+from anviltray.messages import InstanceBelief
 
 BROKEN, ERROR, OK = (
     ExchangeOutcome.BROKEN,
@@ -71,6 +72,45 @@
     assert first.take_observations() == ()
 
 
+@pytest.mark.parametrize(
+    ("own", "reported", "low", "high"),
+    [
+        (None, 0.02, 0.0, 0.05),
+        (None, 0.98, 0.95, 1.0),
+        # What the own zone saw a moment ago counts more.
+        (BROKEN, 0.02, 0.9, 1.0),
+        # Numbers that are no probability change nothing.
+        (None, 0.0, SICK_SHARE - 0.01, SICK_SHARE + 0.01),
+        (None, 7.0, SICK_SHARE - 0.01, SICK_SHARE + 0.01),
+    ],
+)
+def test_the_belief_of_another_zone(own, reported, low, high):
+    board = EvidenceBoard()
+    if own is not None:
+        board.started("i-1")
+        board.ended(0.5, "i-1", "keeper", own, 0.01)
+    board.zone_beliefs(1.0, "lautoka", [InstanceBelief("i-1", reported, 3)])
+    assert low <= board.of("i-1").sickness(1.0) <= high
+    assert board.of("i-1").total_outstanding == 3
+
+
+def test_a_zone_reports_only_what_it_has_seen_itself():
+    board = EvidenceBoard()
+    board.zone_beliefs(1.0, "lautoka", [InstanceBelief("i-1", 0.5, 3)])
+    board.accepted(1.0, "i-2")
+    assert [belief.instance for belief in board.beliefs(1.5, ["i-1", "i-2", "i-3"])] == ["i-2"]
+
+
+def test_a_refusal_shows_load_for_a_moment():
+    first, second = EvidenceBoard(), EvidenceBoard()
+    first.started("i-1")
+    first.ended(1.0, "i-1", "keeper", ExchangeOutcome.REFUSED, 0.01)
+    second.peer_observations(1.0, "10.0.0.1", first.take_observations())
+    for board in (first, second):
+        loads = [board.of("i-1").refusal_load(at_s) for at_s in (1.0, 1.5, 6.0)]
+        assert loads == pytest.approx([1.0, 0.5, 0.0], abs=0.01)
+
+
 def test_instances_that_are_gone_are_forgotten_when_idle():
     board = EvidenceBoard()
     board.started("i-1")
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -22,7 +22,7 @@
     create_pages,
 )
 from anviltray.edge._state import EdgeState
-from anviltray.messages import HostBeacon, HostPlace, ZoneObservations
+from anviltray.messages import HostBeacon, HostPlace, ZoneBeliefs, ZoneObservations
 from anviltray.platform import KeyedStore, names
 from anviltray.settings import HostSettings, build_caller_settings, build_upstream_settings
 from anviltray.upstreams import UpstreamClient
@@ -35,6 +35,10 @@
 _DIRECTORY_ADDRESSES = 64  # More addresses in one answer are not read.
 # News about instances is collected this long before it goes to the zone; failures go at once.
 _OBSERVATION_INTERVAL_S = 0.2
+# One host of each zone tells the other zones of its region what the zone believes. Bytes between
+# zones are paid, and each time two hosts get them, of which one may be gone.
+_BELIEF_INTERVAL_S = 0.5
+_BELIEF_RECEIVERS = 2
 _STATISTICS_INTERVAL_S = 10.0
 _STORE_TIMEOUT_S = 1.5
 _CONNECT_TIMEOUT_S = 0.4  # The longest round trip is 16 ms; a dark instance must not cost more.
@@ -58,7 +62,7 @@
 
     def __init__(self, settings: HostSettings) -> None:
         self.settings = settings
-        rng = random.Random(secrets.randbits(64))
+        self._rng = rng = random.Random(secrets.randbits(64))
         self.metrics = EdgeMetrics()
         upstreams = UpstreamClient(_upstream_settings(), settings.address)
         self.state = EdgeState(settings, upstreams, rng)
@@ -79,6 +83,7 @@
         self.metrics.attach("zone", lambda: self.exchange.counters)
         self.metrics.attach("store", lambda: self.follower.counters)
         self.exchange.on(ZoneObservations, self._take_observations)
+        self.exchange.on(ZoneBeliefs, self._take_beliefs)
         self.exchange.on_silent(self.state.board.peer_gone)
         self.follower.on_configuration(self._configure)
 
@@ -119,7 +124,12 @@
             asyncio.create_task(serve_internal(pages, listeners, self._stop_pages)),
         ]
         self.exchange.ask_hosts(settings.seed_addresses)
-        for task in (self.exchange.run(), self.follower.run(), self._send_observations()):
+        for task in (
+            self.exchange.run(),
+            self.follower.run(),
+            self._send_observations(),
+            self._send_beliefs(),
+        ):
             self._tasks.append(asyncio.create_task(_guard(task)))
         _log.info(
             "started",
@@ -227,6 +237,31 @@
         now_s = asyncio.get_running_loop().time()
         self.state.board.peer_observations(now_s, message.host, message.observations)
 
+    def _take_beliefs(self, message: ZoneBeliefs) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.state.board.zone_beliefs(now_s, message.zone, message.beliefs)
+        if not message.passed_on:
+            self.exchange.send_to_zone(message._replace(passed_on=True))
+
+    async def _send_beliefs(self) -> None:
+        settings = self.settings
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_BELIEF_INTERVAL_S)
+            if not self.follower.reads_for_zone:
+                continue
+            own = [
+                key
+                for key, instance in self.state.directory.instances.items()
+                if instance.zone == settings.zone
+            ]
+            message = ZoneBeliefs(settings.zone, False, self.state.board.beliefs(loop.time(), own))
+            for zone, hosts in self.exchange.hosts.other_zones().items():
+                if settings.zone_regions.get(zone) == settings.region and message.beliefs:
+                    count = min(len(hosts), _BELIEF_RECEIVERS)
+                    for host in self._rng.sample(hosts, count):
+                        self.exchange.send(host, message)
+
     async def _send_observations(self) -> None:
         board = self.state.board
         loop = asyncio.get_running_loop()
--- a/anviltray/messages/_generated.py
+++ b/anviltray/messages/_generated.py
@@ -153,14 +153,33 @@
     log_likelihood_ratio: (
         float  # Evidence since the last report, sick against sound; natural logarithm.
     )
+    refusals: int  # Requests that the instance has refused for load since the last report.
 
 
 def _decode_instance_observation(data: Any) -> InstanceObservation:
-    items = check_arity("InstanceObservation", data, 3)
+    items = check_arity("InstanceObservation", data, 4)
     return InstanceObservation(
         instance=take_str(items[0]),
         outstanding=take_int(items[1]),
         log_likelihood_ratio=take_float(items[2]),
+        refusals=take_int(items[3]),
+    )
+
+
+class InstanceBelief(NamedTuple):
+    """What one availability zone believes about one of its instances."""
+
+    instance: str  # Instance id.
+    sickness: float  # Probability that it is sick.
+    outstanding: int  # Requests in flight from that zone.
+
+
+def _decode_instance_belief(data: Any) -> InstanceBelief:
+    items = check_arity("InstanceBelief", data, 3)
+    return InstanceBelief(
+        instance=take_str(items[0]),
+        sickness=take_float(items[1]),
+        outstanding=take_int(items[2]),
     )
 
 
@@ -808,6 +827,23 @@
     )
 
 
+class ZoneBeliefs(NamedTuple):
+    """Datagram with what one zone believes about its instances, for another zone of the region."""
+
+    zone: str  # Zone that believes.
+    passed_on: bool  # A host of the receiving zone has passed it on.
+    beliefs: tuple[InstanceBelief, ...]  # Instances of that zone.
+
+
+def _decode_zone_beliefs(data: Any) -> ZoneBeliefs:
+    items = check_arity("ZoneBeliefs", data, 3)
+    return ZoneBeliefs(
+        zone=take_str(items[0]),
+        passed_on=take_bool(items[1]),
+        beliefs=take_list(items[2], _decode_instance_belief),
+    )
+
+
 Message = (
     Hello
     | Proof
@@ -833,6 +869,7 @@
     | HostsRequest
     | HostList
     | StoreSnapshot
+    | ZoneBeliefs
 )
 
 
@@ -861,6 +898,7 @@
     HostsRequest: 23,
     HostList: 24,
     StoreSnapshot: 25,
+    ZoneBeliefs: 26,
 }
 
 
@@ -889,6 +927,7 @@
     23: _decode_hosts_request,
     24: _decode_host_list,
     25: _decode_store_snapshot,
+    26: _decode_zone_beliefs,
 }
 
 
@@ -917,6 +956,7 @@
     HostsRequest: "zone",
     HostList: "zone",
     StoreSnapshot: "zone",
+    ZoneBeliefs: "zone",
 }
 
 
@@ -954,6 +994,7 @@
     "KeyedChange",
     "HostPlace",
     "InstanceObservation",
+    "InstanceBelief",
     "ServiceCounters",
     "UpstreamRecord",
     "RouteRecord",
@@ -988,4 +1029,5 @@
     "HostsRequest",
     "HostList",
     "StoreSnapshot",
+    "ZoneBeliefs",
 ]
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -114,6 +114,11 @@
         """Whether the configuration and the registrations are known."""
         return self.configuration is not None and self.instances_offset != _UNKNOWN
 
+    @property
+    def reads_for_zone(self) -> bool:
+        """Whether this host is the one that reads the store for its zone."""
+        return self.reaches_store and self._due_s() == READ_INTERVAL_S
+
     def read_age_s(self) -> float:
         """Returns the age of the newest read of the store that this host has taken."""
         return self._loop.time() - self.read_s
--- a/anviltray/zone/_hosts.py
+++ b/anviltray/zone/_hosts.py
@@ -43,6 +43,14 @@
         own = self._own.zone
         return tuple(address for address, zone in self._zones.items() if zone == own)
 
+    def other_zones(self) -> dict[str, tuple[str, ...]]:
+        """Returns the hosts of each other zone."""
+        zones: dict[str, list[str]] = {}
+        for address, zone in sorted(self._zones.items()):
+            if zone != self._own.zone:
+                zones.setdefault(zone, []).append(address)
+        return {zone: tuple(addresses) for zone, addresses in zones.items()}
+
     def take(self, now_s: float, beacon: HostBeacon) -> str:
         """Takes a beacon; returns "new", "restarted", "known" or "stale"."""
         if beacon.zone != self._own.zone or beacon.host == self._own.address:
