--- /dev/null
+++ b/anviltray/platform/tests/test_host_settings.py
@@ -0,0 +1,67 @@
+"""Guards against a host that starts with settings it has misread."""
+
+import pytest
+
+from anviltray.platform import HostSettingsError, load_host_settings
+
+TEXT = """
+nodeName = "edge-viti-suva-1"
+ip = "10.1.0.35"
+zone = "viti-suva"
+region = "viti"
+internalPorts = [7660, 7675]
+seeds = ["10.1.0.35:8146", "10.2.0.28:8146"]
+heartbeatMs = 1500
+bounds = ["drainMs=2000", "graceS=6", "configApplyMs=2000", "retryBudgetRatio=0.2",
+  "budgetWindowS=10", "retryBudgetSlack=64", "ttl_max_s=5", "new=true"]
+unknown = 1
+[zones]
+viti-suva = "viti"
+[listen]
+front = "10.1.0.35:8144"
+readiness = "10.1.0.35:8140"
+directory = "10.1.0.35:8143"
+[provider]
+address = "10.200.1.7:8142"
+"""
+
+
+def test_settings(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(TEXT)
+    settings = load_host_settings(path)
+    assert settings.caller_address == "10.1.0.35:8144"
+    assert settings.seed_addresses == ("10.1.0.35", "10.2.0.28")
+    assert settings.first_internal_port == 7660
+    assert settings.heartbeat_s == 1.5
+    guarantees = settings.guarantees
+    assert (guarantees.drain_s, guarantees.grace_s, guarantees.retry_share) == (2.0, 6.0, 0.2)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ('ip = "10.1.0.35"', "", "ip"),
+        ('zone = "viti-suva"', "zone = 7", "zone"),
+        ('front = "10.1.0.35:8144"', "", "front"),
+        ('front = "10.1.0.35:8144"', 'front = "8144"', "front"),
+        ("internalPorts = [7660, 7675]", "internalPorts = []", "index"),
+        ("drainMs=2000", "drainMs=soon", "drainMs"),
+        ("drainMs=2000", "drainMs=-1", "drainMs"),
+        ('"graceS=6",', "", "graceS"),
+        ("[provider]", "[other]", "provider"),
+        ("heartbeatMs = 1500", "heartbeatMs = ", ""),
+    ],
+)
+def test_an_error_names_the_file_and_the_key(tmp_path, old, new, named):
+    path = tmp_path / "node.toml"
+    path.write_text(TEXT.replace(old, new))
+    with pytest.raises(HostSettingsError) as error:
+        load_host_settings(path)
+    assert str(path) in str(error.value)
+    assert named in str(error.value)
+
+
+def test_a_missing_file_is_an_error(tmp_path):
+    with pytest.raises(HostSettingsError):
+        load_host_settings(tmp_path / "none.toml")
