--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 import socket
-from collections.abc import Coroutine
 from typing import Any
 
 import logbook
@@ -25,6 +24,7 @@
 from anviltray.messages import HostBeacon, HostPlace, ZoneBeliefs, ZoneObservations
 from anviltray.platform import KeyedStore, names
 from anviltray.settings import HostSettings, build_caller_settings, build_upstream_settings
+from anviltray.telemetry import log_failure
 from anviltray.upstreams import UpstreamClient
 from anviltray.zone import StoreFollower, ZoneExchange, fetch_snapshot
 
@@ -130,7 +130,7 @@
             self._send_observations(),
             self._send_beliefs(),
         ):
-            self._tasks.append(asyncio.create_task(_guard(task)))
+            self._tasks.append(asyncio.create_task(log_failure(task, _log)))
         _log.info(
             "started",
             extra={
@@ -307,12 +307,3 @@
             "cold_header": "",
         }
     )
-
-
-async def _guard(task: Coroutine[Any, Any, None]) -> None:
-    """Logs a task that ends by an error, which would otherwise stay unseen until the shutdown."""
-    try:
-        await task
-    except Exception:
-        _log.exception("a task of the host has failed")
-        raise
--- a/anviltray/node/_node.py
+++ b/anviltray/node/_node.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Coroutine
 from typing import Any
 
 import logbook
@@ -28,7 +27,7 @@
 from anviltray.settings import Settings
 from anviltray.state import StateTasks, load_key
 from anviltray.state.membership import rendezvous_rank
-from anviltray.telemetry import Metrics
+from anviltray.telemetry import Metrics, log_failure
 
 _log = logbook.Logger("anviltray.node")
 
@@ -123,7 +122,7 @@
             self._send_counters(),
             self._probe(),
         ):
-            self._tasks.append(asyncio.create_task(_guard(task)))
+            self._tasks.append(asyncio.create_task(log_failure(task, _log)))
         self.context.set_members(self.exchange.membership.serving())
 
     async def stop(self) -> None:
@@ -245,12 +244,3 @@
                 await asyncio.sleep(interval_s / len(targets))
                 healthy = await self.context.upstreams.probe(address, _PROBE_TIMEOUT_S)
                 self.context.board.probed(loop.time(), address, healthy)
-
-
-async def _guard(task: Coroutine[Any, Any, None]) -> None:
-    """Logs a task that ends by an error, which would otherwise stay unseen until the shutdown."""
-    try:
-        await task
-    except Exception:
-        _log.exception("a task of the node has failed")
-        raise
--- a/anviltray/telemetry/_logs.py
+++ b/anviltray/telemetry/_logs.py
@@ -4,6 +4,7 @@
 import os
 import sys
 import time
+from collections.abc import Callable
 from typing import Any
 
 import logbook
@@ -13,34 +14,28 @@
 )
 
 
-def _json_line(record: Any, _handler: object) -> str:
+def _encode(record: Any, convert: Callable[[Any], Any]) -> str:
     """Returns one JSON object with the record's time, level, channel, message and extra fields."""
     fields = {
         "time": f"{record.time:%Y-%m-%dT%H:%M:%S.%f}Z",
         "level": record.level_name.lower(),
         "channel": record.channel,
         "message": record.message,
-        **{key: str(value) for key, value in record.extra.items()},
+        **{key: convert(value) for key, value in record.extra.items()},
     }
-    return _encode(record, fields)
+    if record.exc_info:
+        fields["exception"] = str(record.formatted_exception)
+    return json.dumps(fields, ensure_ascii=False)
 
 
-def _typed_json_line(record: Any, _handler: object) -> str:
-    """Returns the same object with the numbers, lists and objects of the extra fields."""
-    fields = {
-        "time": f"{record.time:%Y-%m-%dT%H:%M:%S.%f}Z",
-        "level": record.level_name.lower(),
-        "channel": record.channel,
-        "message": record.message,
-        **{key: _plain(value) for key, value in record.extra.items()},
-    }
-    return _encode(record, fields)
+def _json_line(record: Any, _handler: object) -> str:
+    """Returns the object with all extra fields as text."""
+    return _encode(record, str)
 
 
-def _encode(record: Any, fields: dict[str, Any]) -> str:
-    if record.exc_info:
-        fields["exception"] = str(record.formatted_exception)
-    return json.dumps(fields, ensure_ascii=False)
+def _typed_json_line(record: Any, _handler: object) -> str:
+    """Returns the object with the numbers, lists and objects of the extra fields."""
+    return _encode(record, _plain)
 
 
 def _plain(value: Any) -> Any:
--- a/standins/_serving.py
+++ b/standins/_serving.py
@@ -188,6 +188,26 @@
     return data
 
 
+class ServedStandin:
+    """A stand-in that serves a Falcon application on one address."""
+
+    def __init__(self, application: Any, address: str) -> None:
+        self._server = HttpServer(application, address)
+
+    @property
+    def address(self) -> str:
+        """IP:port of the stand-in."""
+        return self._server.address
+
+    async def start(self) -> str:
+        """Listens and returns the address."""
+        return await self._server.start()
+
+    async def close(self) -> None:
+        """Stops listening and resets all connections."""
+        await self._server.close()
+
+
 def build_fields(kind: type[_Fields], data: dict[str, Any]) -> _Fields:
     """Builds a NamedTuple of bool, int, float and str fields from `data`.
 
--- a/standins/platform/_application.py
+++ b/standins/platform/_application.py
@@ -7,7 +7,7 @@
 import falcon
 import falcon.asgi
 
-from standins._serving import HttpServer, abort_connection, build_fields, read_object
+from standins._serving import ServedStandin, abort_connection, build_fields, read_object
 from standins.platform._store import Conditions, HostList, LogStore, StreamTrimmed
 
 # An append without an answer holds its connection at most this long; clients give up earlier.
@@ -16,7 +16,7 @@
 _HOST_KEYS = {"address", "role", "state", "region", "zone", "peer_address", "node"}
 
 
-class PlatformStandin:
+class PlatformStandin(ServedStandin):
     """The platform in one process; its state is lost with the process.
 
     Use the condition `outage` instead of a restart to make a durable log unavailable. Control
@@ -39,20 +39,7 @@
         application.add_route("/control/conditions", _ControlConditions(self))
         application.add_route("/control/trim", _ControlTrim(self))
         application.add_route("/control/hosts", _ControlHosts(self))
-        self._server = HttpServer(application, address)
-
-    @property
-    def address(self) -> str:
-        """IP:port of the stand-in."""
-        return self._server.address
-
-    async def start(self) -> str:
-        """Listens and returns the address."""
-        return await self._server.start()
-
-    async def close(self) -> None:
-        """Stops listening and resets all connections."""
-        await self._server.close()
+        super().__init__(application, address)
 
     async def admit(self, appends: bool = False) -> None:
         """Applies the delay and the outage that are in force."""
--- a/standins/store/_application.py
+++ b/standins/store/_application.py
@@ -8,7 +8,7 @@
 import falcon
 import falcon.asgi
 
-from standins._serving import HttpServer, abort_connection
+from standins._serving import ServedStandin, abort_connection
 
 _SILENCE_LIMIT_S = 120.0
 _POLL_S = 0.01
@@ -45,7 +45,7 @@
         return offset
 
 
-class StoreStandin:
+class StoreStandin(ServedStandin):
     """The store in one process; `page_size` limits the keys of one page."""
 
     def __init__(self, address: str = "127.0.0.1:0", page_size: int = 500) -> None:
@@ -57,20 +57,7 @@
         application.add_route("/v1/log-append", _Append(self))
         application.add_route("/v1/log-read", _Read(self))
         application.add_route("/v1/log-newest", _Newest(self))
-        self._server = HttpServer(application, address)
-
-    @property
-    def address(self) -> str:
-        """IP:port of the stand-in."""
-        return self._server.address
-
-    async def start(self) -> str:
-        """Listens and returns the address."""
-        return await self._server.start()
-
-    async def close(self) -> None:
-        """Stops listening and resets all connections."""
-        await self._server.close()
+        super().__init__(application, address)
 
     def put(self, topic: str, key: str, value: bytes) -> int:
         """Appends a record without a call and returns its offset; no value removes the key."""
