Count the hosts of the fleet again after the start

Hosts that joined first had read a short list, so each took the slack of a small fleet until the next statistics, and never learned of hosts of other zones that joined later. Ruled out: the forgetting of the budget alone; a replay of a burst over 48 budgets stays within the bound with the old window too (anviltray/edge/tests/test_budget.py). Change: a host asks a neighbour every 3 s; the limits of the configuration for callers are in force.

--- a/anviltray/callers/__init__.py
+++ b/anviltray/callers/__init__.py
@@ -6,6 +6,7 @@
 from anviltray.callers._exchange import CallerExchange
 from anviltray.callers._head import CallerHeaders, HeadReader, RequestHead
 from anviltray.callers._problems import InputError, Problem
+from anviltray.callers._protocol import protocol_class
 from anviltray.callers._relay import add_length
 from anviltray.callers._server import bind, serve, serve_internal
 
@@ -24,6 +25,7 @@
     "add_length",
     "bind",
     "create_application",
+    "protocol_class",
     "serve",
     "serve_internal",
 ]
--- a/anviltray/callers/_server.py
+++ b/anviltray/callers/_server.py
@@ -73,17 +73,19 @@
     listener: socket.socket,
     stop: asyncio.Event,
     on_started: Callable[[], None] = lambda: None,
+    protocol: type[CallerProtocol] | None = None,
 ) -> None:
     """Serves on `listener` until `stop` is set, then ends without cutting a request.
 
     Before it sets `stop`, the node has announced its shutdown (`context.shutting_down`) and has
     waited for the lifetime of its ask responses. The listener is closed at once, idle connections
-    after a short grace, the others behind their last response.
+    after a short grace, the others behind their last response. A `protocol` from `protocol_class`
+    lets its owner change the limits while it is in use.
     """
     config = uvicorn.Config(
         application,
         loop="asyncio",
-        http=protocol_class(settings),
+        http=protocol or protocol_class(settings),
         ws="none",
         lifespan="off",
         log_config=None,
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -69,12 +69,18 @@
         self._state = state
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
-        self._reader = HeadReader(settings, state.upstreams.dialect, caller_headers)
-        self._body_limit = settings.body_limit_bytes
+        self._caller_headers = caller_headers
+        self.set_limits(settings)
         self._request_id_name = caller_headers.request_id
         self._instance_header = instance_header
         self._seal_name = seal_header.lower().encode()
 
+    def set_limits(self, settings: CallerSettings) -> None:
+        """Puts limits for requests in force."""
+        dialect = self._state.upstreams.dialect
+        self._reader = HeadReader(settings, dialect, self._caller_headers)
+        self._body_limit = settings.body_limit_bytes
+
     async def __call__(self, scope: object, receive: object, send: object) -> None:
         """Answers one request."""
         exchange: CallerExchange = scope["anviltray.exchange"]  # type: ignore[index]
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -9,7 +9,7 @@
 
 import logbook
 
-from anviltray.callers import CallerHeaders, bind, serve, serve_internal
+from anviltray.callers import CallerHeaders, bind, protocol_class, serve, serve_internal
 from anviltray.declarations import RoutingConfiguration
 from anviltray.edge._dispatcher import EdgeDispatcher
 from anviltray.edge._metrics import EdgeMetrics
@@ -39,13 +39,15 @@
 # zones are paid, and each time two hosts get them, of which one may be gone.
 _BELIEF_INTERVAL_S = 0.5
 _BELIEF_RECEIVERS = 2
+# The number of hosts divides what the fleet shares; it changes when hosts start or are added.
+_FLEET_INTERVAL_S = 3.0
 _STATISTICS_INTERVAL_S = 10.0
 _STORE_TIMEOUT_S = 1.5
 _CONNECT_TIMEOUT_S = 0.4  # The longest round trip is 16 ms; a dark instance must not cost more.
 # Instances close a connection that is idle for 10 s, and the request that crosses is lost.
 _IDLE_LIMIT_S = 6.0
 _UNREPEATABLE_IDLE_LIMIT_S = 4.0
-_CALLER_IDLE_S = 20.0  # Callers reuse connections for up to 12 s.
+_IDLE_MARGIN_S = 1.0  # Callers that reuse a connection at the end of its idle time still arrive.
 _INSTANCE_CONNECTIONS = 390
 # Callers with an older answer still arrive after the signal to stop; the rest of the grace period
 # is for requests in flight, less this margin.
@@ -72,6 +74,15 @@
         self.follower = StoreFollower(
             place, self.store, self.exchange, self.state.directory, self._fetch, rng
         )
+        self._protocol = protocol_class(build_caller_settings({}))
+        self._dispatcher = EdgeDispatcher(
+            self.state,
+            self.metrics,
+            self._protocol.caller_settings,
+            CallerHeaders(names.REQUEST_ID.lower().encode(), names.DEADLINE_MS.lower().encode()),
+            names.EXPECTED_INSTANCE,
+            names.SEAL,
+        )
         self._incarnation = secrets.randbits(63)
         self._sequence = 0
         self._listening = False
@@ -100,17 +111,6 @@
         listeners = [bind(address) for address in sorted(addresses)]
         self._listeners = [callers, *listeners]
         await self.exchange.start()
-        caller_settings = build_caller_settings(
-            {"answer_lifetime_s": _CALLER_IDLE_S, "head_timeout_s": _CALLER_IDLE_S}
-        )
-        dispatcher = EdgeDispatcher(
-            self.state,
-            self.metrics,
-            caller_settings,
-            CallerHeaders(names.REQUEST_ID.lower().encode(), names.DEADLINE_MS.lower().encode()),
-            names.EXPECTED_INSTANCE,
-            names.SEAL,
-        )
         pages = create_pages(
             DirectoryPage(self.entry_addresses, _ANSWER_LIFETIME_S),
             ReadyPage(self.not_ready),
@@ -119,7 +119,14 @@
         )
         self._serving = [
             asyncio.create_task(
-                serve(dispatcher, caller_settings, callers, self._stop_callers, self._started)
+                serve(
+                    self._dispatcher,
+                    self._protocol.caller_settings,
+                    callers,
+                    self._stop_callers,
+                    self._started,
+                    self._protocol,
+                )
             ),
             asyncio.create_task(serve_internal(pages, listeners, self._stop_pages)),
         ]
@@ -129,6 +136,7 @@
             self.follower.run(),
             self._send_observations(),
             self._send_beliefs(),
+            self._count_hosts(),
         ):
             self._tasks.append(asyncio.create_task(log_failure(task, _log)))
         _log.info(
@@ -209,6 +217,18 @@
 
     def _configure(self, configuration: RoutingConfiguration) -> None:
         self.state.configure(configuration)
+        limits = configuration.limits
+        settings = build_caller_settings(
+            {
+                "header_limit_bytes": limits.header_bytes,
+                "body_limit_bytes": limits.body_bytes,
+                "head_timeout_s": limits.header_timeout_s,
+                # Idle connections are closed after the lifetime of an answer.
+                "answer_lifetime_s": limits.idle_timeout_s + _IDLE_MARGIN_S,
+            }
+        )
+        self._protocol.caller_settings = settings
+        self._dispatcher.set_limits(settings)
         self.state.set_fleet_size(len(self.exchange.hosts.places()))
 
     def _beacon(self, answer: bool) -> HostBeacon:
@@ -243,6 +263,15 @@
         if not message.passed_on:
             self.exchange.send_to_zone(message._replace(passed_on=True))
 
+    async def _count_hosts(self) -> None:
+        """Asks a neighbour which hosts there are; one that started later than this one knows more."""
+        while True:
+            await asyncio.sleep(_FLEET_INTERVAL_S)
+            neighbours = [host.beacon.host for host in self.exchange.alive()]
+            if neighbours:
+                self.exchange.ask_hosts((self._rng.choice(neighbours),))
+            self.state.set_fleet_size(len(self.exchange.hosts.places()))
+
     async def _send_beliefs(self) -> None:
         settings = self.settings
         loop = asyncio.get_running_loop()
@@ -278,7 +307,6 @@
             if now_s - cleaned_s > _STATISTICS_INTERVAL_S:
                 cleaned_s = now_s
                 board.keep_only(self.state.directory.instances)
-                self.state.set_fleet_size(len(self.exchange.hosts.places()))
                 _log.info(
                     "statistics",
                     extra={
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -47,6 +47,7 @@
         self.urgent = asyncio.Event()  # News against an instance waits to be sent to the zone.
         self._routes = PrefixIndex()
         self._rng = rng
+        self.fleet_size = 1  # Known hosts of the fleet with this one.
         self._slack = 0.0
         self._explored_services: set[str] = set()
         self._shares: dict[str, WeightedChoice] = {}
@@ -92,6 +93,7 @@
 
     def set_fleet_size(self, hosts: int) -> None:
         """Divides among all hosts what the fleet shares."""
+        self.fleet_size = hosts
         self._slack = self.settings.guarantees.retry_slack * _SLACK_USED / hosts
         for budget in self._budgets.values():
             budget.slack = self._slack
--- a/anviltray/edge/tests/support.py
+++ b/anviltray/edge/tests/support.py
@@ -14,7 +14,7 @@
 SETTINGS = """
 nodeName = "edge-{number}"
 ip = "{ip}"
-zone = "viti-suva"
+zone = "{zone}"
 region = "viti"
 internalPorts = [{port}, {port}]
 seeds = ["127.0.4.1:1"]
@@ -23,6 +23,7 @@
   "budgetWindowS=10","retryBudgetSlack=64","ttl_max_s=5"]
 [zones]
 viti-suva = "viti"
+viti-lautoka = "viti"
 [listen]
 front = "{ip}:18144"
 readiness = "{ip}:18140"
@@ -142,17 +143,21 @@
             await instance.__aexit__()
         await self.store.close()
 
-    def settings(self, number):
+    def settings(self, number, zone="viti-suva"):
         path = self.directory / f"{number}.toml"
         path.write_text(
             SETTINGS.format(
-                number=number, ip=f"127.0.4.{number}", port=17700, store=self.store.address
+                number=number,
+                ip=f"127.0.4.{number}",
+                zone=zone,
+                port=17700,
+                store=self.store.address,
             )
         )
         return load_host_settings(path)
 
-    async def start_host(self, number):
-        host = Edge(self.settings(number))
+    async def start_host(self, number, zone="viti-suva"):
+        host = Edge(self.settings(number, zone))
         await host.start()
         return host
 
--- /dev/null
+++ b/anviltray/edge/tests/test_budget.py
@@ -0,0 +1,57 @@
+"""Guards against a fleet that sends more repeats than all its hosts together may.
+
+Replays a burst: the rate of requests rises and falls, and every request would be sent once more.
+"""
+
+import asyncio
+import random
+from bisect import bisect_left
+from types import SimpleNamespace
+
+import pytest
+
+from anviltray.edge._state import EdgeState
+from anviltray.platform import load_host_settings
+from anviltray.platform.tests.test_host_settings import TEXT
+
+HOSTS = 48
+WINDOW_S = 10.0
+SHARE, SLACK = 0.2, 64
+
+
+def in_window(times, start_s):
+    return bisect_left(times, start_s + WINDOW_S) - bisect_left(times, start_s)
+
+
+def rate_s(now_s, calm_s, burst):
+    return calm_s * (burst if 15 <= now_s < 18 else 1.0)
+
+
+@pytest.mark.parametrize("calm_s", [5.0, 60.0, 250.0])
+@pytest.mark.parametrize("burst", [1.0, 1.9, 6.0])
+def test_repeats_of_the_fleet(tmp_path, calm_s, burst):
+    path = tmp_path / "node.toml"
+    path.write_text(TEXT)
+    settings = load_host_settings(path)
+    rng = random.Random(1)
+
+    async def make():
+        upstreams = SimpleNamespace(set_nodes=lambda count: None)
+        return [EdgeState(settings, upstreams, rng) for _ in range(HOSTS)]
+
+    states = asyncio.run(make())
+    for state in states:
+        state.set_fleet_size(HOSTS)
+    requests, repeats = [], []
+    now_s = 0.0
+    while now_s < 40.0:
+        now_s += rng.expovariate(rate_s(now_s, calm_s, burst))
+        budget = rng.choice(states).retry_budget("keeper")
+        budget.request(now_s)
+        requests.append(now_s)
+        if budget.take(now_s):
+            repeats.append(now_s)
+    for step in range(0, 300):
+        start_s = step / 10
+        counted = max(in_window(requests, start_s - back_s) for back_s in (0.0, 5.0, 10.0))
+        assert in_window(repeats, start_s) <= SHARE * counted + SLACK
--- a/anviltray/edge/tests/test_requests.py
+++ b/anviltray/edge/tests/test_requests.py
@@ -138,6 +138,16 @@
     run(tmp_path, test, answer())
 
 
+def test_the_limits_of_the_configuration_are_in_force(tmp_path):
+    async def test(fleet):
+        assert (await fleet.call(ORDER, b"x", X_Large="y" * 20_000)).status == 431
+        assert (await fleet.call(ORDER, b"x" * 1_100_000)).status == 413
+        assert (await fleet.call(ORDER, b"x" * 900_000)).status == 200
+        assert fleet.received() == 1
+
+    run(tmp_path, test, answer())
+
+
 def test_no_request_goes_to_a_draining_instance(tmp_path):
     async def test(fleet):
         draining = registration(fleet.instances[0].address, state="draining")
@@ -174,6 +184,21 @@
     run(tmp_path, test, reset, hosts=3)
 
 
+def test_a_host_learns_of_hosts_of_other_zones_that_start_after_it(tmp_path):
+    """Otherwise the hosts that start first would each take too much of what the fleet shares."""
+
+    async def test(fleet):
+        for number, zone in ((2, "viti-lautoka"), (3, "viti-suva")):
+            host = await fleet.start_host(number, zone)
+            fleet.hosts.append(host)
+            await fleet.until(lambda host=host: not host.not_ready())
+        first = fleet.hosts[0]
+        await fleet.until(lambda: len(first.exchange.hosts.places()) == 3, 8.0)
+        await fleet.until(lambda: first.state.fleet_size == 3, 3.0)
+
+    run(tmp_path, test, answer())
+
+
 def test_directory_and_readiness(tmp_path):
     async def test(fleet):
         await fleet.until(lambda: all(len(host.entry_addresses()) == 2 for host in fleet.hosts))
