Split the sends of a request into steps

Cause: one function held the whole life of a request. Change: the progress of a request is an object; no change of behaviour.

--- a/anviltray/decisions/instances/_directory.py
+++ b/anviltray/decisions/instances/_directory.py
@@ -22,9 +22,10 @@
         self._instances: dict[str, Instance] = {}
         self._lapsed_until: dict[str, float] = {}  # Lapsed registrations; inf during an outage.
         self._misdirected: dict[str, Instance] = {}  # Registrations whose address was reused.
-        self._warm_from: dict[str, float] = {}  # End of the slow phase after the start.
+        self._warming_until: dict[str, float] = {}  # End of the slow phase after the start.
         self._by_service: dict[str, tuple[Instance, ...]] = {}
         self._outage = False
+        self._returned_s = float("-inf")  # When the store answered again after an outage.
 
     @property
     def instances(self) -> Mapping[str, Instance]:
@@ -46,7 +47,7 @@
 
     def warming(self, now_s: float, key: str) -> bool:
         """Tells whether an instance is still slow after its start."""
-        return now_s < self._warm_from.get(key, 0.0)
+        return now_s < self._warming_until.get(key, 0.0)
 
     def put(self, now_s: float, instance: Instance) -> None:
         """Takes a registration."""
@@ -58,7 +59,7 @@
         elif known is not None and known.started_unix_ms > instance.started_unix_ms:
             return  # A record of an earlier start.
         if known is None or known.started_unix_ms != instance.started_unix_ms:
-            self._warm_from[key] = now_s + instance.warmup_s
+            self._warming_until[key] = now_s + instance.warmup_s
         if self._misdirected.get(key, instance) != instance:
             del self._misdirected[key]
         self._instances[key] = instance
@@ -95,7 +96,7 @@
     def store_back(self, now_s: float) -> None:
         """The store answers again; lapsed registrations get the time to be renewed."""
         self._outage = False
-        self._back_s = now_s
+        self._returned_s = now_s
         for key in self._lapsed_until:
             self._lapsed_until[key] = now_s + RENEWAL_S
 
@@ -106,17 +107,15 @@
             self._forget(key)
         return gone
 
-    _back_s = float("-inf")
-
     def _in_trouble(self, now_s: float) -> bool:
-        return self._outage or now_s < self._back_s + RENEWAL_S
+        return self._outage or now_s < self._returned_s + RENEWAL_S
 
     def _renewed_by(self, now_s: float) -> float:
-        return float("inf") if self._outage else max(now_s, self._back_s + RENEWAL_S)
+        return float("inf") if self._outage else max(now_s, self._returned_s + RENEWAL_S)
 
     def _forget(self, key: str) -> None:
         self._instances.pop(key, None)
         self._lapsed_until.pop(key, None)
         self._misdirected.pop(key, None)
-        self._warm_from.pop(key, None)
+        self._warming_until.pop(key, None)
         self._by_service.clear()
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -54,6 +54,32 @@
 Result = WholeResponse | NotRun | Unknown
 
 
+class _Progress:
+    """What the sends of one request have led to so far."""
+
+    __slots__ = ("connects", "may_have_run", "problem", "response", "sends", "tried")
+
+    def __init__(self) -> None:
+        self.tried: frozenset[str] = frozenset()  # Ids of the instances.
+        self.sends = 0  # Sends that reached an instance or may have.
+        self.connects = 0  # Connections that could not be opened.
+        self.may_have_run = False
+        self.response: WholeResponse | None = None  # Best response so far.
+        self.problem = _REFUSED
+
+    def take(self, placed: Placed, result: Result) -> None:
+        """Takes the result of one send."""
+        self.tried |= {placed.instance.id}
+        if isinstance(result, NotRun) and not result.arrived:
+            self.connects += 1
+            return
+        self.sends += 1
+        if isinstance(result, WholeResponse):
+            self.response = result
+        elif isinstance(result, Unknown):
+            self.may_have_run = True
+
+
 class EdgeDispatcher:
     """Answers the requests of one host. Header names of the platform come as arguments."""
 
@@ -169,60 +195,53 @@
 
     async def _serve(self, call: EdgeCall) -> int:
         """Sends the request until it is answered; returns the status for the caller."""
-        state = self._state
         if not call.body.ended:
             await call.body.read_short()
-        budget = state.retry_budget(call.service)
-        budget.request(self._loop.time())
-        idempotent = call.route.idempotent
-        exclude: frozenset[str] = frozenset()
-        fallback: WholeResponse | None = None
-        may_have_run = False
-        sends = connects = 0
+        self._state.retry_budget(call.service).request(self._loop.time())
+        progress = _Progress()
         while True:
-            now_s = self._loop.time()
-            repeatable = idempotent and sends + 1 < call.route.instance_limit
-            request = PlacementRequest(
-                call.service,
-                repeatable,
-                repeatable and sends == 0 and state.may_explore(now_s, call.service),
-                call.route.priority,
-                call.remaining_s(now_s),
-                exclude,
-                only_explorer=sends == 0 and not state.has_explorers(call.service),
-            )
-            placed = state.placement.choose(now_s, request, state.directory.usable(call.service))
+            placed = self._place(call, progress)
             if isinstance(placed, TurnedAway):
                 call.history.append({"turned_away": placed._asdict()})
-                problem = _REFUSED._replace(retry_after_s=round(placed.retry_after_s, 2))
+                retry_after_s = round(placed.retry_after_s, 2)
+                progress.problem = _REFUSED._replace(retry_after_s=retry_after_s)
                 break
             result = await self._send(call, placed)
             if result is None:
                 return 200
-            exclude |= {placed.instance.id}
-            if isinstance(result, NotRun) and result.reason in ("unreachable", "no-connection"):
-                connects += 1
-                problem = _REFUSED
-                if connects < _CONNECT_TRIES:
-                    continue
+            progress.take(placed, result)
+            if not self._goes_on(call, progress, result):
                 break
-            sends += 1
-            if isinstance(result, WholeResponse):
-                fallback = result
-                if result.status < 500 or not idempotent:
-                    break
-            elif isinstance(result, Unknown):
-                may_have_run = True
-                problem = _BROKEN
-                if not idempotent:
-                    break
-            else:
-                problem = _REFUSED
-            if not self._may_send_again(call, sends):
-                break
-        if fallback is not None:
-            return self._answer(call, fallback)
-        return self._answer_problem(call.exchange, call.head, _BROKEN if may_have_run else problem)
+        if progress.response is not None:
+            return self._answer(call, progress.response)
+        problem = _BROKEN if progress.may_have_run else progress.problem
+        return self._answer_problem(call.exchange, call.head, problem)
+
+    def _place(self, call: EdgeCall, progress: "_Progress") -> Placed | TurnedAway:
+        state, route = self._state, call.route
+        now_s = self._loop.time()
+        first = progress.sends == 0
+        repeatable = route.idempotent and progress.sends + 1 < route.instance_limit
+        request = PlacementRequest(
+            call.service,
+            repeatable,
+            explores=repeatable and first and state.may_explore(now_s, call.service),
+            priority=route.priority,
+            remaining_s=call.remaining_s(now_s),
+            exclude=progress.tried,
+            only_explorer=first and not state.has_explorers(call.service),
+        )
+        return state.placement.choose(now_s, request, state.directory.usable(call.service))
+
+    def _goes_on(self, call: EdgeCall, progress: "_Progress", result: "Result") -> bool:
+        """Tells whether the request is sent once more."""
+        if isinstance(result, NotRun) and not result.arrived:
+            return progress.connects < _CONNECT_TRIES
+        if isinstance(result, WholeResponse) and result.status < 500:
+            return False
+        if not isinstance(result, NotRun) and not call.route.idempotent:
+            return False
+        return self._may_send_again(call, progress.sends)
 
     def _may_send_again(self, call: EdgeCall, sends: int) -> bool:
         now_s = self._loop.time()
@@ -281,9 +300,9 @@
             call.cancellable = True
             if isinstance(error, ConnectionsExhausted):
                 recorder.ended(ExchangeOutcome.ABANDONED)
-                return NotRun("no-connection")
+                return NotRun("no-connection", arrived=False)
             recorder.ended(ExchangeOutcome.CONNECT_FAILED)
-            return NotRun("unreachable")
+            return NotRun("unreachable", arrived=False)
         except UpstreamError as error:
             if call.body.error is not None:
                 raise call.body.error from error
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -264,7 +264,7 @@
             self.exchange.send_to_zone(message._replace(passed_on=True))
 
     async def _count_hosts(self) -> None:
-        """Asks a neighbour which hosts there are; one that started later than this one knows more."""
+        """Asks a neighbour which hosts there are; one that started later knows more."""
         while True:
             await asyncio.sleep(_FLEET_INTERVAL_S)
             neighbours = [host.beacon.host for host in self.exchange.alive()]
--- a/anviltray/edge/_send.py
+++ b/anviltray/edge/_send.py
@@ -86,7 +86,8 @@
 class NotRun(NamedTuple):
     """It is certain that the instance has not run the request."""
 
-    reason: str  # "refused", "unreachable", "misdirected" or "no-connection".
+    reason: str  # "refused", "misdirected", "unreachable" or "no-connection".
+    arrived: bool = True  # Whether the request reached the instance, which then counts as a send.
 
 
 class Unknown(NamedTuple):
