Keep queues at the instances within the target latency

These callers wait 0.9 s; under the shortage the queues at the instances are as long as the route's timeout allows, so their time passed in the queue. Ruled out: a late configuration (the hosts know the routes), refusals for little time (mended before).

--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -31,6 +31,9 @@
 # Part of the time left that the expected response time may take, by priority: when there is not
 # room for all, the less urgent requests are turned away first.
 _PATIENCE = (0.9, 0.75, 0.6)
+# The same for the target latency. A longer queue at the instances serves no more requests, only all
+# of them late; a caller that is refused comes back.
+_TARGET_FACTOR = (2.0, 1.5, 1.2)
 _WORK_SHARE = 0.5  # The work is taken for no more than this part of the allowed time.
 _LEAST_RETRY_AFTER_S = 0.2
 _RETRY_SPREAD = 0.5  # Retries are spread over this part of the delay, so that they do not collide.
@@ -51,6 +54,7 @@
     explores: bool  # Whether it may go to a doubtful instance to learn its state.
     priority: int  # 0 is the most urgent.
     remaining_s: float  # Time until the caller gives up.
+    target_s: float  # Time in which a response is worth most to the caller.
     exclude: frozenset[str] = frozenset()  # Instances that were tried.
     only_explorer: bool = False  # The service has no repeatable requests that could explore.
 
@@ -121,7 +125,10 @@
             if tested is not None:
                 return _placed(now_s, tested, explores=True)
         best = min(candidates, key=lambda candidate: candidate.cost)
-        allowed_s = request.remaining_s * _PATIENCE[min(request.priority, 2)]
+        rank = min(request.priority, 2)
+        allowed_s = min(
+            request.remaining_s * _PATIENCE[rank], request.target_s * _TARGET_FACTOR[rank]
+        )
         expected_s = self._expected_s(request.service, best.load, allowed_s)
         if expected_s > allowed_s:
             excess_s = expected_s - allowed_s
--- a/anviltray/decisions/placement/tests/test_placement.py
+++ b/anviltray/decisions/placement/tests/test_placement.py
@@ -25,8 +25,12 @@
     return Instance(f"i-{number}", 0, "s", f"10.0.0.{number}:80", zone, "v1", slots, False, 0.0)
 
 
-def request(repeatable=False, explores=False, priority=0, remaining_s=5.0, exclude=()):
-    return PlacementRequest("s", repeatable, explores, priority, remaining_s, frozenset(exclude))
+def request(
+    repeatable=False, explores=False, priority=0, remaining_s=5.0, exclude=(), target_s=10.0
+):
+    return PlacementRequest(
+        "s", repeatable, explores, priority, remaining_s, target_s, frozenset(exclude)
+    )
 
 
 class Host:
@@ -152,6 +156,22 @@
     assert found == turned_away
 
 
+@pytest.mark.parametrize(
+    ("outstanding", "turned_away"), [(5, []), (15, [2]), (20, [1, 2]), (30, [0, 1, 2])]
+)
+def test_queues_stay_within_the_target_latency(outstanding, turned_away):
+    host = Host()
+    host.load("i-1", outstanding)
+    found = [
+        priority
+        for priority in range(3)
+        if isinstance(
+            host.choose(1.0, request(priority=priority, target_s=0.8), [instance(1)]), TurnedAway
+        )
+    ]
+    assert found == turned_away
+
+
 @pytest.mark.parametrize("instances", [[], [instance(1)]])
 def test_nothing_left_to_try(instances):
     answer = Host().choose(1.0, request(exclude=["i-1"]), instances)
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -228,6 +228,7 @@
             explores=repeatable and first and state.may_explore(now_s, call.service),
             priority=route.priority,
             remaining_s=call.remaining_s(now_s),
+            target_s=route.target_latency_s,
             exclude=progress.tried,
             only_explorer=first and not state.has_explorers(call.service),
         )
