--- a/anviltray/decisions/instances/_directory.py
+++ b/anviltray/decisions/instances/_directory.py
@@ -5,8 +5,8 @@
 
 from anviltray.declarations import Instance
 
-# Registrations that lapsed during an outage of the store are renewed within two seconds of its
-# return (SYSTEM letter); the margin covers one reading interval.
+# Instances renew registrations that lapsed during an outage of the store within two seconds of its
+# return; the margin covers one reading interval.
 RENEWAL_S = 2.7
 
 
--- a/anviltray/platform/__init__.py
+++ b/anviltray/platform/__init__.py
@@ -14,6 +14,7 @@
 from anviltray.platform._host_settings import HostSettingsError, load_host_settings
 from anviltray.platform._http import HttpPlatform
 from anviltray.platform._interface import (
+    AppendConflict,
     AppendRejected,
     AppendUnknown,
     Batch,
@@ -32,6 +33,7 @@
 from anviltray.platform._store import KeyedStore
 
 __all__ = [
+    "AppendConflict",
     "AppendRejected",
     "AppendUnknown",
     "Batch",
--- a/anviltray/platform/_interface.py
+++ b/anviltray/platform/_interface.py
@@ -19,6 +19,14 @@
     """The log refused the append, for example above its append rate; it did not take effect."""
 
 
+class AppendConflict(PlatformError):
+    """The partition does not end at the expected offset; the append did not take effect."""
+
+    def __init__(self, message: str, end: int) -> None:
+        super().__init__(message)
+        self.end = end  # Offset that the next append gets.
+
+
 class OffsetTrimmed(PlatformError):
     """The offset is older than the oldest record that the log still has."""
 
--- a/anviltray/platform/_store.py
+++ b/anviltray/platform/_store.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from anviltray.platform._interface import (
+    AppendConflict,
     AppendRejected,
     AppendUnknown,
     KeyedRecord,
@@ -80,21 +81,27 @@
             raise PlatformUnavailable(f"read {topic}: {error}") from error
         return RecordBatch(records, offset + len(records), end)
 
-    async def append(self, topic: str, key: str, payload: bytes) -> None:
-        """Writes the record of a key.
+    async def append(
+        self, topic: str, key: str, payload: bytes, expected_end: int | None = None
+    ) -> None:
+        """Writes the record of a key, with `expected_end` only if the partition ends there.
 
-        Raises AppendRejected or PlatformUnavailable if it did not take effect, AppendUnknown if it
-        may have.
+        Raises AppendConflict, AppendRejected or PlatformUnavailable if it did not take effect,
+        AppendUnknown if it may have.
         """
         name = key.encode()
         record = bytes((len(name),)) + name + payload
         parameters = {"topic": topic, "part": "0"}
+        if expected_end is not None:
+            parameters["at"] = str(expected_end)
         try:
             response = await self._transport.send(
                 "POST", APPEND_PATH, params=parameters, data=_LENGTH.pack(len(record)) + record
             )
         except ResponseLost as error:
             raise AppendUnknown(str(error)) from error
+        if response.status == 412:
+            raise AppendConflict(f"append {topic}: the partition has grown", _end(response.body))
         if response.status == 429:
             raise AppendRejected(f"append {topic}: the rate limit is reached")
         if response.status == 503:
@@ -124,6 +131,13 @@
             raise PlatformUnavailable(f"malformed answer: {error}") from error
 
 
+def _end(body: bytes) -> int:
+    try:
+        return int(json.loads(body)["end"])
+    except (LookupError, TypeError, ValueError) as error:
+        raise PlatformUnavailable(f"malformed answer: {error}") from error
+
+
 def _item(item: Any) -> KeyedRecord:
     return KeyedRecord(str(item["key"]), base64.b64decode(item["value"], validate=True))
 
--- a/anviltray/platform/tests/test_store.py
+++ b/anviltray/platform/tests/test_store.py
@@ -5,6 +5,7 @@
 import pytest
 
 from anviltray.platform import (
+    AppendConflict,
     AppendRejected,
     AppendUnknown,
     KeyedStore,
@@ -76,6 +77,17 @@
     run(test)
 
 
+def test_an_append_with_a_condition_takes_effect_once():
+    async def test(store, standin):
+        await store.append("keyed.t", "a", b"1", expected_end=0)
+        with pytest.raises(AppendConflict) as error:
+            await store.append("keyed.t", "a", b"2", expected_end=0)
+        assert error.value.end == 1
+        assert standin.topics["keyed.t"].newest["a"] == (b"1", 0)
+
+    run(test)
+
+
 def test_deleted_records_are_told_apart_from_an_outage():
     async def test(store, standin):
         standin.put("keyed.t", "a", b"1")
--- a/standins/store/_application.py
+++ b/standins/store/_application.py
@@ -102,6 +102,11 @@
         topic = await self._standin.admit(request)
         if topic is None:
             return
+        expected = request.get_param_as_int("at")
+        if expected is not None and expected != topic.end:
+            response.status = falcon.HTTP_412
+            response.media = {"end": topic.end}
+            return
         (length,) = struct.unpack_from(">I", body)
         content = body[4 : 4 + length]
         end = 1 + content[0]
