--- a/anviltray/edge/_daemon.py
+++ b/anviltray/edge/_daemon.py
@@ -16,6 +16,7 @@
 
 _log = logbook.Logger("anviltray.edge")
 
+EXIT_FAILED = 1  # A task has failed; the platform starts the process again.
 EXIT_SETTINGS = 2  # The settings are wrong.
 EXIT_ADDRESS = 3  # An address cannot be bound.
 # A host answers fewer than 20 requests a second; the rest is room for bursts and changes.
@@ -59,8 +60,13 @@
     loop.add_signal_handler(signal.SIGHUP, changed.set)
     await host.start()
     watching = asyncio.create_task(_watch(path, host, changed))
-    await stopped.wait()
-    watching.cancel()
+    ends = [asyncio.create_task(event.wait()) for event in (stopped, host.failed)]
+    await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+    for task in (watching, *ends):
+        task.cancel()
+    if host.failed.is_set():
+        await host.close()
+        return EXIT_FAILED
     await host.stop()
     return 0
 
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -86,6 +86,7 @@
         self._incarnation = secrets.randbits(63)
         self._sequence = 0
         self._listening = False
+        self.failed = asyncio.Event()  # A task has ended by an error; the host is of no use.
         self._tasks: list[asyncio.Task[Any]] = []
         self._stop_callers = asyncio.Event()
         self._stop_pages = asyncio.Event()
@@ -138,7 +139,9 @@
             self._send_beliefs(),
             self._count_hosts(),
         ):
-            self._tasks.append(asyncio.create_task(log_failure(task, _log)))
+            created = asyncio.create_task(log_failure(task, _log))
+            created.add_done_callback(self._task_ended)
+            self._tasks.append(created)
         _log.info(
             "started",
             extra={
@@ -212,6 +215,10 @@
             addresses.append(self.settings.caller_address)
         return tuple(addresses[:_DIRECTORY_ADDRESSES])
 
+    def _task_ended(self, task: asyncio.Task[Any]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self.failed.set()
+
     def _started(self) -> None:
         self._listening = True
 
@@ -268,8 +275,9 @@
         while True:
             await asyncio.sleep(_FLEET_INTERVAL_S)
             neighbours = [host.beacon.host for host in self.exchange.alive()]
-            if neighbours:
-                self.exchange.ask_hosts((self._rng.choice(neighbours),))
+            # Without neighbours the seeds may know some; the first question may have been lost.
+            asked = (self._rng.choice(neighbours),) if neighbours else self.settings.seed_addresses
+            self.exchange.ask_hosts(asked)
             self.state.set_fleet_size(len(self.exchange.hosts.places()))
 
     async def _send_beliefs(self) -> None:
--- a/anviltray/edge/tests/test_requests.py
+++ b/anviltray/edge/tests/test_requests.py
@@ -232,6 +232,16 @@
     run(tmp_path, test, answer(after_s=1.0))
 
 
+def test_a_host_whose_task_has_failed_says_so(tmp_path):
+    async def test(fleet):
+        host = fleet.hosts[0]
+        assert not host.failed.is_set()
+        host.state.board.take_observations = lambda: 1 / 0
+        await asyncio.wait_for(host.failed.wait(), 2)
+
+    run(tmp_path, test, answer())
+
+
 def test_metrics(tmp_path):
     async def test(fleet):
         await fleet.call(ORDER, b"x")
