Keep a drained instance out after its registration has ended

Cause: draining was remembered only as long as the registration. A stale record of the same start that arrives after the end made the instance usable again, so that requests reached an instance that was about to exit. Ruled out: a start of an instance under its former id (its start time is later) and the return of an instance that was only cut off (it never reported draining); both have rows. Conclusion: starts that were drained are remembered for two minutes.

--- a/anviltray/decisions/instances/_directory.py
+++ b/anviltray/decisions/instances/_directory.py
@@ -8,6 +8,8 @@
 # Instances renew registrations that lapsed during an outage of the store within two seconds of its
 # return; the margin covers one reading interval.
 RENEWAL_S = 2.7
+# Records of an ended instance may still arrive for this long; another start of it has a later time.
+_ENDED_KEPT_S = 120.0
 
 
 class InstanceDirectory:
@@ -15,7 +17,7 @@
 
     A registration that disappears while the store is in trouble is kept until it had the time to be
     renewed after the store's return. Draining is final for one start of an instance: a stale record
-    does not bring it back.
+    does not bring it back, also after its registration has ended.
     """
 
     def __init__(self) -> None:
@@ -23,6 +25,7 @@
         self._lapsed_until: dict[str, float] = {}  # Lapsed registrations; inf during an outage.
         self._misdirected: dict[str, Instance] = {}  # Registrations whose address was reused.
         self._warming_until: dict[str, float] = {}  # End of the slow phase after the start.
+        self._ended: dict[str, tuple[int, float]] = {}  # Start and end of drained instances.
         self._by_service: dict[str, tuple[Instance, ...]] = {}
         self._outage = False
         self._returned_s = float("-inf")  # When the store answered again after an outage.
@@ -53,6 +56,9 @@
         """Takes a registration."""
         key = instance.id
         known = self._instances.get(key)
+        started_unix_ms, _ = self._ended.get(key, (0, 0.0))
+        if known is None and 0 < instance.started_unix_ms <= started_unix_ms:
+            return
         self._lapsed_until.pop(key, None)
         if known is not None and known.started_unix_ms == instance.started_unix_ms:
             instance = instance._replace(draining=instance.draining or known.draining)
@@ -70,7 +76,10 @@
         instance = self._instances.get(key)
         if instance is None:
             return
-        if instance.draining or not self._in_trouble(now_s):
+        if instance.draining:
+            self._ended[key] = (instance.started_unix_ms, now_s)
+            self._forget(key)
+        elif not self._in_trouble(now_s):
             self._forget(key)
         else:
             self._lapsed_until.setdefault(key, self._renewed_by(now_s))
@@ -102,9 +111,12 @@
 
     def expire(self, now_s: float) -> tuple[str, ...]:
         """Drops lapsed registrations that were not renewed in time and returns their ids."""
+        oldest_s = now_s - _ENDED_KEPT_S
         gone = tuple(key for key, until_s in self._lapsed_until.items() if until_s <= now_s)
         for key in gone:
             self._forget(key)
+        for key in [key for key, (_, ended_s) in self._ended.items() if ended_s < oldest_s]:
+            del self._ended[key]
         return gone
 
     def _in_trouble(self, now_s: float) -> bool:
--- a/anviltray/decisions/instances/tests/test_directory.py
+++ b/anviltray/decisions/instances/tests/test_directory.py
@@ -34,6 +34,18 @@
             [("put", TWO._replace(draining=True)), ("put", TWO._replace(started_unix_ms=2000))],
             ["i-1", "i-2"],
         ),
+        # Nor does a stale record that arrives after the registration has ended.
+        ([("put", TWO._replace(draining=True)), ("remove", "i-2"), ("put", TWO)], ["i-1"]),
+        (
+            [
+                ("put", TWO._replace(draining=True)),
+                ("remove", "i-2"),
+                ("put", TWO._replace(started_unix_ms=2000)),
+            ],
+            ["i-1", "i-2"],
+        ),
+        # An instance that was cut off registers again when it is back.
+        ([("remove", "i-2"), ("put", TWO)], ["i-1", "i-2"]),
         # Nor does the record of an earlier start replace that of a later one.
         (
             [
