Send nothing for a caller that has left, promise nothing once a body is on its way

Causes: (1) A request that must not be repeated is not cancelled when its caller leaves. If the instance then refused it, it was sent to another one for nobody. (2) A long body is sent while it arrives. If it stalled, the caller got 408, which says that the request has not run, although an instance had a part of it. Both found by reading; both tests fail without the change. Ruled out: the same after a connection that could not be opened; nothing is on its way then, but the second send is as useless, so the check stands after every kind of result. Conclusion: a left caller ends the sends, and after the first send the answer is 504.

--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -142,7 +142,10 @@
         try:
             status = await self._serve(call)
         except InputError as error:
-            status = self._answer_problem(exchange, head, error.problem)
+            problem = error.problem
+            if call.history and problem.status == _BODY_TOO_SLOW.status:
+                problem = _TIMED_OUT._replace(close=True)
+            status = self._answer_problem(exchange, head, problem)
         except asyncio.CancelledError:
             if exchange.disconnected and not call.timed_out:
                 self._metrics.count("callers_left")
@@ -159,9 +162,10 @@
             self._record(call, status)
 
     def _time_out(self, call: EdgeCall) -> Problem:
-        if not call.body.ended:
-            return _BODY_TOO_SLOW
-        return _REFUSED if call.cancellable and not call.history else _TIMED_OUT
+        if call.history:
+            # An instance may have begun to work on the part of the body that has reached it.
+            return _TIMED_OUT
+        return _REFUSED if call.body.ended else _BODY_TOO_SLOW
 
     @property
     def _version(self) -> int:
@@ -212,6 +216,9 @@
             progress.take(placed, result)
             if not self._goes_on(call, progress, result):
                 break
+            if call.exchange.disconnected:
+                self._metrics.count("callers_left")
+                return 0
         if progress.response is not None:
             return self._answer(call, progress.response)
         problem = _BROKEN if progress.may_have_run else progress.problem
--- a/anviltray/edge/tests/test_requests.py
+++ b/anviltray/edge/tests/test_requests.py
@@ -126,6 +126,41 @@
     run(tmp_path, test, answer(after_s=1.0))
 
 
+def test_a_request_is_not_sent_again_for_a_caller_that_left(tmp_path):
+    """The refusal of the first send arrives after the caller has gone."""
+
+    async def test(fleet):
+        host, port = fleet.hosts[0].settings.caller_address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(encode(ORDER, b"x", Request_Id="c1", Deadline_Ms="3000"))
+        await fleet.until(lambda: fleet.received() == 1)
+        writer.close()
+        await asyncio.sleep(0.6)
+        assert fleet.received() == 1
+
+    async def refuse_late(request, writer):
+        await asyncio.sleep(0.3)
+        return await refuse()(request, writer)
+
+    run(tmp_path, test, refuse_late, refuse_late)
+
+
+def test_a_body_that_stalls_on_its_way_to_an_instance_gets_no_promise(tmp_path):
+    """The instance may already work on the part that has arrived, so 408 would not be true."""
+
+    async def test(fleet):
+        host, port = fleet.hosts[0].settings.caller_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = encode(ORDER, b"", Request_Id="c1", Deadline_Ms="700", Content_Length="200000")
+        writer.write(head + b"x" * 100_000)
+        line = await reader.readline()
+        assert line.split()[1] == b"504"
+        assert b"Retry-After" not in await reader.read()
+        writer.close()
+
+    run(tmp_path, test, answer())
+
+
 def test_routes_follow_the_configuration(tmp_path):
     async def test(fleet):
         assert (await fleet.call("GET /none/1")).status == 404
