Give a restarted host its part of the retry slack after one window only

Cause: each new process had its part of the slack at once, and one repeat in any case. A fleet that restarts several times within a window spent the slack as often. Ruled out: the share that requests earn; an ended process has spent at most what it had earned. Conclusion: only the first start of the whole fleet grants the slack at once.

--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -83,6 +83,7 @@
             names.EXPECTED_INSTANCE,
             names.SEAL,
         )
+        self._slack_timer: asyncio.TimerHandle | None = None
         self._incarnation = secrets.randbits(63)
         self._sequence = 0
         self._listening = False
@@ -111,6 +112,8 @@
         }
         listeners = [bind(address) for address in sorted(addresses)]
         self._listeners = [callers, *listeners]
+        loop = asyncio.get_running_loop()
+        self._slack_timer = loop.call_later(self.state.slack_delay_s, self.state.grant_slack)
         await self.exchange.start()
         pages = create_pages(
             DirectoryPage(self.entry_addresses, _ANSWER_LIFETIME_S),
@@ -171,6 +174,8 @@
 
     async def close(self) -> None:
         """Ends all tasks at once."""
+        if self._slack_timer is not None:
+            self._slack_timer.cancel()
         self._stop_callers.set()
         self._stop_pages.set()
         for task in (*self._tasks, *self._serving):
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -23,6 +23,8 @@
 _WINDOW_FACTOR = 1.12
 # Part of the fleet's retry slack that is given out; the rest is for hosts that are not known yet.
 _SLACK_USED = 0.6
+# Extra sends that a host may use in a window whatever its traffic; many hosts add up.
+_LEAST_RETRIES = 0
 # Extra sends that stay reserved for requests that an instance has refused.
 _EXPLORE_RESERVE = 2.0
 
@@ -48,7 +50,8 @@
         self._routes = PrefixIndex()
         self._rng = rng
         self.fleet_size = 1  # Known hosts of the fleet with this one.
-        self._slack = 0.0
+        self._slack = 0.0  # This host's part of the fleet's slack.
+        self._slack_granted = False
         self._explored_services: set[str] = set()
         self._shares: dict[str, WeightedChoice] = {}
         self._budgets: dict[str, RetryBudget] = {}
@@ -87,18 +90,38 @@
             budget = self._budgets[service] = RetryBudget(
                 share=guarantees.retry_share * _SHARE_USED,
                 window_s=guarantees.retry_window_s * _WINDOW_FACTOR,
+                minimum=_LEAST_RETRIES,
             )
-            budget.slack = self._slack
+            budget.slack = self._usable_slack
         return budget
 
+    @property
+    def slack_delay_s(self) -> float:
+        """Time after a start within which an earlier process of this host may count as well."""
+        if self.settings.first_start:
+            return 0.0
+        return self.settings.guarantees.retry_window_s * _WINDOW_FACTOR
+
+    def grant_slack(self) -> None:
+        """Lets this host use its part of the fleet's slack, once `slack_delay_s` has passed."""
+        self._slack_granted = True
+        self._set_slack()
+
     def set_fleet_size(self, hosts: int) -> None:
         """Divides among all hosts what the fleet shares."""
         self.fleet_size = hosts
         self._slack = self.settings.guarantees.retry_slack * _SLACK_USED / hosts
-        for budget in self._budgets.values():
-            budget.slack = self._slack
+        self._set_slack()
         self.upstreams.set_nodes(hosts)
 
+    @property
+    def _usable_slack(self) -> float:
+        return self._slack if self._slack_granted else 0.0
+
+    def _set_slack(self) -> None:
+        for budget in self._budgets.values():
+            budget.slack = self._usable_slack
+
     def has_explorers(self, service: str) -> bool:
         """Tells whether idempotent requests go to a service."""
         return service in self._explored_services
--- a/anviltray/edge/tests/support.py
+++ b/anviltray/edge/tests/support.py
@@ -19,6 +19,7 @@
 internalPorts = [{port}, {port}]
 seeds = ["127.0.4.1:1"]
 heartbeatMs = 1500
+bootstrap = true
 bounds = ["drainMs=2000","graceS=3","configApplyMs=2000","retryBudgetRatio=0.2",
   "budgetWindowS=10","retryBudgetSlack=64","ttl_max_s=5"]
 [zones]
--- a/anviltray/edge/tests/test_budget.py
+++ b/anviltray/edge/tests/test_budget.py
@@ -27,6 +27,24 @@
     return calm_s * (burst if 15 <= now_s < 18 else 1.0)
 
 
+def start_fleet(settings, rng):
+    async def make():
+        upstreams = SimpleNamespace(set_nodes=lambda count: None)
+        return [EdgeState(settings, upstreams, rng) for _ in range(HOSTS)]
+
+    states = asyncio.run(make())
+    for state in states:
+        state.set_fleet_size(HOSTS)
+    return states
+
+
+def assert_within_budget(requests, repeats):
+    for step in range(0, 300):
+        start_s = step / 10
+        counted = max(in_window(requests, start_s - back_s) for back_s in (0.0, 5.0, 10.0))
+        assert in_window(repeats, start_s) <= SHARE * counted + SLACK
+
+
 @pytest.mark.parametrize("calm_s", [5.0, 60.0, 250.0])
 @pytest.mark.parametrize("burst", [1.0, 1.9, 6.0])
 def test_repeats_of_the_fleet(tmp_path, calm_s, burst):
@@ -34,14 +52,9 @@
     path.write_text(TEXT)
     settings = load_host_settings(path)
     rng = random.Random(1)
-
-    async def make():
-        upstreams = SimpleNamespace(set_nodes=lambda count: None)
-        return [EdgeState(settings, upstreams, rng) for _ in range(HOSTS)]
-
-    states = asyncio.run(make())
+    states = start_fleet(settings, rng)
     for state in states:
-        state.set_fleet_size(HOSTS)
+        state.grant_slack()
     requests, repeats = [], []
     now_s = 0.0
     while now_s < 40.0:
@@ -51,7 +64,30 @@
         requests.append(now_s)
         if budget.take(now_s):
             repeats.append(now_s)
-    for step in range(0, 300):
-        start_s = step / 10
-        counted = max(in_window(requests, start_s - back_s) for back_s in (0.0, 5.0, 10.0))
-        assert in_window(repeats, start_s) <= SHARE * counted + SLACK
+    assert_within_budget(requests, repeats)
+
+
+@pytest.mark.parametrize("calm_s", [5.0, 60.0, 250.0])
+@pytest.mark.parametrize("restart_interval_s", [2.0, 4.0, 9.0])
+def test_repeats_of_a_fleet_that_restarts(tmp_path, calm_s, restart_interval_s):
+    """A new process does not know what its predecessor has spent of the slack."""
+    path = tmp_path / "node.toml"
+    path.write_text(TEXT)
+    settings = load_host_settings(path)
+    rng = random.Random(1)
+    states = start_fleet(settings, rng)
+    for state in states:
+        state.grant_slack()
+    requests, repeats = [], []
+    now_s, restart_s = 0.0, restart_interval_s
+    while now_s < 40.0:
+        now_s += rng.expovariate(calm_s)
+        if now_s >= restart_s:
+            restart_s += restart_interval_s
+            states = start_fleet(settings, rng)
+        budget = rng.choice(states).retry_budget("keeper")
+        budget.request(now_s)
+        requests.append(now_s)
+        if budget.take(now_s):
+            repeats.append(now_s)
+    assert_within_budget(requests, repeats)
--- a/anviltray/platform/_host_settings.py
+++ b/anviltray/platform/_host_settings.py
@@ -42,6 +42,7 @@
         seed_addresses=tuple(str(seed).rpartition(":")[0] for seed in document.get("seeds", ())),
         store_address=_address(document["provider"], "address"),
         heartbeat_s=_positive(document["heartbeatMs"], "heartbeatMs") / 1000,
+        first_start=document.get("bootstrap", False) is True,
         guarantees=Guarantees(
             answer_lifetime_s=_positive(bounds["ttl_max_s"], "ttl_max_s"),
             drain_s=_positive(bounds["drainMs"], "drainMs") / 1000,
--- a/anviltray/platform/tests/test_host_settings.py
+++ b/anviltray/platform/tests/test_host_settings.py
@@ -34,10 +34,18 @@
     assert settings.seed_addresses == ("10.1.0.35", "10.2.0.28")
     assert settings.first_internal_port == 7660
     assert settings.heartbeat_s == 1.5
+    assert not settings.first_start
     guarantees = settings.guarantees
     assert (guarantees.drain_s, guarantees.grace_s, guarantees.retry_share) == (2.0, 6.0, 0.2)
 
 
+@pytest.mark.parametrize(("line", "expected"), [("bootstrap = true", True), ("", False)])
+def test_the_first_start_of_the_fleet_is_told(tmp_path, line, expected):
+    path = tmp_path / "node.toml"
+    path.write_text(line + TEXT)
+    assert load_host_settings(path).first_start is expected
+
+
 @pytest.mark.parametrize(
     ("old", "new", "named"),
     [
--- a/anviltray/settings/_host.py
+++ b/anviltray/settings/_host.py
@@ -31,4 +31,5 @@
     seed_addresses: tuple[str, ...]  # IP addresses of hosts to try first; may be stale.
     store_address: str  # IP:port of the platform's log.
     heartbeat_s: float  # Pause between two reports of an instance.
+    first_start: bool  # The whole fleet starts for the first time.
     guarantees: Guarantees  # What the fleet is held to.
