Test doubtful instances when requests would be turned away or are not served

Load pattern: a zone above its capacity, or one that loses a part of its requests, while instances fall sick in phases. Cause: an instance that was sick returned to service by idempotent requests with room in the retry budget, or by one request in 8 s. When the budget was spent or the service had no idempotent requests, sound instances stayed unused while requests were refused, which also breaks the floor of a service. Conclusion: what would be refused or is already being lost is the cheapest test.

--- a/anviltray/decisions/placement/__init__.py
+++ b/anviltray/decisions/placement/__init__.py
@@ -13,6 +13,7 @@
     TurnedAway,
 )
 from anviltray.decisions.placement._shares import WeightedChoice
+from anviltray.decisions.placement._unserved import UnservedShare
 
 __all__ = [
     "ACCEPTED_AFTER_S",
@@ -23,5 +24,6 @@
     "Placement",
     "PlacementRequest",
     "TurnedAway",
+    "UnservedShare",
     "WeightedChoice",
 ]
--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -5,6 +5,7 @@
 costs the caller time.
 """
 
+import math
 from collections.abc import Sequence
 from random import Random
 from typing import NamedTuple, Protocol
@@ -28,6 +29,12 @@
 # Where no idempotent request could test an instance, another one does after this pause. The mean
 # sick phase is over by then, and without a test the instance would not return to service.
 _BLIND_PAUSE_S = 8.0
+# Above this share of unserved requests any request tests after the shorter pause: operators ask for
+# most sound instances in use within two seconds when a tenth of the requests is not served.
+_FLOOR_UNSERVED = 0.1
+_FLOOR_PAUSE_S = 1.2
+# A request that would be turned away tests a doubtful instance instead after this pause.
+_SPARE_PAUSE_S = 0.8
 # Part of the time left that the expected response time may take, by priority: when there is not
 # room for all, the less urgent requests are turned away first.
 _PATIENCE = (0.9, 0.75, 0.6)
@@ -57,6 +64,7 @@
     target_s: float  # Time in which a response is worth most to the caller.
     exclude: frozenset[str] = frozenset()  # Instances that were tried.
     only_explorer: bool = False  # The service has no repeatable requests that could explore.
+    unserved_share: float = 0.0  # Part of the service's recent requests that was not served.
 
 
 class Placed(NamedTuple):
@@ -119,11 +127,9 @@
         ]
         if not candidates:
             return TurnedAway(self._retry_after_s(_LEAST_RETRY_AFTER_S), 0.0, 0)
-        if request.explores or request.only_explorer:
-            pause_s = _EXPLORE_PAUSE_S if request.explores else _BLIND_PAUSE_S
-            tested = self._explore(now_s, candidates, pause_s)
-            if tested is not None:
-                return _placed(now_s, tested, explores=True)
+        tested = self._explore(now_s, candidates, _explore_pause_s(request))
+        if tested is not None:
+            return _placed(now_s, tested, explores=True)
         best = min(candidates, key=lambda candidate: candidate.cost)
         rank = min(request.priority, 2)
         allowed_s = min(
@@ -131,6 +137,9 @@
         )
         expected_s = self._expected_s(request.service, best.load, allowed_s)
         if expected_s > allowed_s:
+            tested = self._explore(now_s, candidates, _SPARE_PAUSE_S)
+            if tested is not None:
+                return _placed(now_s, tested, explores=True)
             excess_s = expected_s - allowed_s
             return TurnedAway(self._retry_after_s(excess_s), expected_s, len(candidates))
         return _placed(now_s, best, explores=False)
@@ -156,6 +165,8 @@
         self, now_s: float, candidates: Sequence[_Candidate], pause_s: float
     ) -> _Candidate | None:
         """Returns the doubtful instance of the own zone that was heard of least recently."""
+        if pause_s == math.inf:
+            return None
         due = [
             item
             for item in candidates
@@ -184,6 +195,15 @@
         return delay_s * (1 + _RETRY_SPREAD * self._rng.random())
 
 
+def _explore_pause_s(request: PlacementRequest) -> float:
+    """Returns how long nothing must have been heard of an instance that the request may test."""
+    if request.explores:
+        return _EXPLORE_PAUSE_S
+    if request.unserved_share > _FLOOR_UNSERVED:
+        return _FLOOR_PAUSE_S
+    return _BLIND_PAUSE_S if request.only_explorer else math.inf
+
+
 def _placed(now_s: float, candidate: _Candidate, *, explores: bool) -> Placed:
     evidence = candidate.evidence
     return Placed(
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -51,6 +51,8 @@
 _BODY_TOO_SLOW = Problem(408, "body-timeout", "the request body took too long", close=True)
 _FAULT = Problem(500, "internal-error", "the host failed", "unknown", close=True)
 
+_LEAST_FAILURE = 500  # Lower statuses are answers to the request itself (RFC 9110, 15.6).
+
 Result = WholeResponse | NotRun | Unknown
 
 
@@ -173,8 +175,11 @@
         return -1 if configuration is None else configuration.version
 
     def _record(self, call: EdgeCall, status: int) -> None:
-        latency_s = self._loop.time() - call.received_s
+        now_s = self._loop.time()
+        latency_s = now_s - call.received_s
         self._metrics.answered(call.service, status, latency_s)
+        if status:
+            self._state.unserved.ended(now_s, call.service, status < _LEAST_FAILURE)
         _log.info(
             "answered" if status else "caller left",
             extra={
@@ -238,6 +243,7 @@
             target_s=route.target_latency_s,
             exclude=progress.tried,
             only_explorer=first and not state.has_explorers(call.service),
+            unserved_share=state.unserved.share(now_s, call.service),
         )
         return state.placement.choose(now_s, request, state.directory.usable(call.service))
 
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -8,6 +8,7 @@
     EvidenceBoard,
     Place,
     Placement,
+    UnservedShare,
     WeightedChoice,
 )
 from anviltray.decisions.retries import RetryBudget
@@ -44,6 +45,7 @@
             self.directory,
             rng,
         )
+        self.unserved = UnservedShare()
         self.configuration: RoutingConfiguration | None = None
         self.shutting_down = False
         self.urgent = asyncio.Event()  # News against an instance waits to be sent to the zone.
