--- a/anviltray/edge/_pages.py
+++ b/anviltray/edge/_pages.py
@@ -7,9 +7,9 @@
 import falcon.asgi
 
 from anviltray.edge._metrics import EdgeMetrics
-from anviltray.messages import StoreSnapshot, encode_message
+from anviltray.messages import StoreSnapshot
 from anviltray.platform import encode_addresses, names
-from anviltray.zone import SNAPSHOT_PATH
+from anviltray.zone import SNAPSHOT_CODING, SNAPSHOT_PATH, encode_snapshot
 
 METRICS_PATH = "/metrics"
 
@@ -53,7 +53,8 @@
     async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         """Answers with an encoded StoreSnapshot."""
         response.content_type = "application/cbor"
-        response.data = encode_message(self._snapshot())
+        response.set_header("Content-Encoding", SNAPSHOT_CODING)
+        response.data = encode_snapshot(self._snapshot())
 
 
 class MetricsPage:
--- a/anviltray/zone/__init__.py
+++ b/anviltray/zone/__init__.py
@@ -3,14 +3,22 @@
 from anviltray.zone._exchange import ZoneExchange
 from anviltray.zone._follower import StoreFollower
 from anviltray.zone._hosts import HostTable, ZoneHost
-from anviltray.zone._snapshots import SNAPSHOT_PATH, SnapshotUnavailable, fetch_snapshot
+from anviltray.zone._snapshots import (
+    SNAPSHOT_CODING,
+    SNAPSHOT_PATH,
+    SnapshotUnavailable,
+    encode_snapshot,
+    fetch_snapshot,
+)
 
 __all__ = [
+    "SNAPSHOT_CODING",
     "SNAPSHOT_PATH",
     "HostTable",
     "SnapshotUnavailable",
     "StoreFollower",
     "ZoneExchange",
     "ZoneHost",
+    "encode_snapshot",
     "fetch_snapshot",
 ]
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -43,8 +43,10 @@
 _RETRY_S = (0.25, 1.0)  # Shortest and longest pause after a failed call.
 # The zone has lost the store if none of its hosts has read for this long.
 _OUTAGE_S = 2.0
-# A host that is behind another one for longer than this fetches what it misses.
+# A host that is behind another one for longer than this fetches what it misses. A configuration is
+# fetched sooner, at different moments of the span, so that the first hosts can pass it on as well.
 _BEHIND_S = 0.15
+_FETCH_SPREAD_S = 0.3
 _UNKNOWN = -1
 # Two hosts that differ by less speak of the same return of the store.
 _RETURN_TOLERANCE_S = 0.5
@@ -95,6 +97,7 @@
         self._returned_s = float("-inf")  # When the store came back from its last outage.
         self._lost = False
         self._behind_since: float | None = None
+        self._fetch_delay_s = 0.0  # Time to wait before a newer configuration is fetched.
         self._on_configuration: list[Callable[[RoutingConfiguration], None]] = []
         self.configuration: RoutingConfiguration | None = None
         self.instances_offset = _UNKNOWN
@@ -341,6 +344,7 @@
         )
         if behind and self._behind_since is None:
             self._behind_since = now_s
+            self._fetch_delay_s = _FETCH_SPREAD_S * self._rng.random()
         elif not behind and beacon.instances_offset == self.instances_offset:
             # Only a read whose result this host has counts as its own.
             self.read_s = max(self.read_s, now_s - beacon.read_age_s)
@@ -357,13 +361,13 @@
         if not ahead:
             self._behind_since = None
             return
-        newer = max(beacon.configuration_version for beacon in ahead) > self.version
-        if newer or now_s - self._behind_since >= _BEHIND_S:
-            best = max(
-                ahead, key=lambda beacon: (beacon.configuration_version, beacon.instances_offset)
-            )
-            self._behind_since = now_s
-            await self._fetch_from(best.host)
+        newest = max(beacon.configuration_version for beacon in ahead)
+        delay_s = self._fetch_delay_s if newest > self.version else _BEHIND_S
+        if now_s - self._behind_since < delay_s:
+            return
+        best = [beacon for beacon in ahead if beacon.configuration_version == newest]
+        self._behind_since = now_s
+        await self._fetch_from(self._rng.choice(best).host)
 
     async def _fetch_from(self, host: str) -> bool:
         self.counters["snapshots"] += 1
--- a/anviltray/zone/_snapshots.py
+++ b/anviltray/zone/_snapshots.py
@@ -1,18 +1,33 @@
-"""Fetches what another host knows of the store."""
+"""Passes what one host knows of the store to another host of its zone."""
+
+import zlib
 
 import aiohttp
 
-from anviltray.messages import MessageError, StoreSnapshot, decode_message
+from anviltray.messages import MessageError, StoreSnapshot, decode_message, encode_message
 
 SNAPSHOT_PATH = "/.anviltray/snapshot"
-# A host of the same zone answers within milliseconds unless it is suspended or cut off.
-_TIMEOUT_S = 0.5
+SNAPSHOT_CODING = "deflate"  # HTTP content coding of a snapshot (RFC 9110, 8.4.1.2).
+# A host of the same zone answers within milliseconds unless it is suspended or cut off, or sends
+# the snapshot to several hosts over a slow link.
+_TIMEOUT_S = 1.0
+# Routes repeat their field names, so that the fastest level already shrinks them to a seventh.
+_COMPRESSION_LEVEL = 1
 
 
 class SnapshotUnavailable(Exception):
     """The host did not answer with a snapshot."""
 
 
+def encode_snapshot(snapshot: StoreSnapshot) -> bytes:
+    """Returns a snapshot in `SNAPSHOT_CODING`.
+
+    All hosts of a zone fetch a new configuration at the same moment, and a configuration of a
+    thousand routes takes seconds on a link of 10 Mbit/s.
+    """
+    return zlib.compress(encode_message(snapshot), _COMPRESSION_LEVEL)
+
+
 async def fetch_snapshot(address: str) -> StoreSnapshot:
     """Returns the snapshot of the host at "IP:port"; raises SnapshotUnavailable."""
     timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
--- /dev/null
+++ b/anviltray/zone/tests/test_snapshots.py
@@ -0,0 +1,88 @@
+"""Guards against a large configuration that reaches the hosts of a zone too late."""
+
+import asyncio
+import random
+
+import pytest
+from aiohttp import web
+
+from anviltray.messages import KeyedChange, StoreSnapshot, encode_message
+from anviltray.platform.tests.documents import configuration, registration
+from anviltray.zone import (
+    SNAPSHOT_CODING,
+    SNAPSHOT_PATH,
+    SnapshotUnavailable,
+    encode_snapshot,
+    fetch_snapshot,
+)
+
+# The slowest links, the hosts of a zone and the routes of the largest deployment that is known.
+LINK_BITS_S = 10e6
+ZONE_HOSTS = 26
+ROUTES = 1400
+# Half of the time after which a configuration has to be in force everywhere there.
+TIME_S = 1.5
+
+
+def large_snapshot():
+    rng = random.Random(1)
+
+    def word(length):
+        return "".join(rng.choices("abcdefghijklmnopqrstuvwxyz0123456789", k=length))
+
+    routes = [
+        {
+            "name": f"r-{word(7)}",
+            "host": f"{word(4)}.example",
+            "pathPrefix": f"/{word(7)}/",
+            "kind": rng.choice(["safe", "unsafe"]),
+            "timeoutMs": 3000,
+            "targetLatencyMs": 1200,
+            "priority": rng.randrange(3),
+            "service": rng.choice(["keeper", "supply"]),
+            "maxAttempts": 2,
+        }
+        for _ in range(ROUTES)
+    ]
+    instances = tuple(KeyedChange(f"i-{word(10)}", registration()) for _ in range(300))
+    return StoreSnapshot(7, configuration(routes=routes), 40, instances, 0.1)
+
+
+def test_a_host_passes_a_large_configuration_on_in_time():
+    snapshot = large_snapshot()
+    assert len(encode_message(snapshot)) * 8 * (ZONE_HOSTS - 1) > 3 * TIME_S * LINK_BITS_S
+    assert len(encode_snapshot(snapshot)) * 8 * (ZONE_HOSTS - 1) < TIME_S * LINK_BITS_S
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "coding", "received"),
+    [
+        (200, encode_snapshot(large_snapshot()), SNAPSHOT_CODING, True),
+        (200, encode_message(large_snapshot()), "identity", True),
+        (200, encode_snapshot(large_snapshot()), "identity", False),
+        (200, b"spoilt", SNAPSHOT_CODING, False),
+        (503, b"", "identity", False),
+    ],
+)
+def test_fetching(status, body, coding, received):
+    async def answer(request):
+        return web.Response(status=status, body=body, headers={"Content-Encoding": coding})
+
+    async def main():
+        application = web.Application()
+        application.router.add_get(SNAPSHOT_PATH, answer)
+        runner = web.AppRunner(application)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        try:
+            return await fetch_snapshot(f"127.0.0.1:{port}")
+        finally:
+            await runner.cleanup()
+
+    if received:
+        assert asyncio.run(main()) == large_snapshot()
+    else:
+        with pytest.raises(SnapshotUnavailable):
+            asyncio.run(main())
