Share the connections that the configuration allows; retire idle ones after a timeout

Causes: (1) The connections of an instance were a constant of one deployment (390), while the configuration tells how many an instance accepts. (2) When connections go silent for good, each idle one cost a request, since only a broken exchange retired the others. Ruled out: a limit for each service; an address may be reused by an instance of another one, so the smallest limit holds for all. The test with a timeout found idle connections in use before; with 20 connections and six hosts the share is 3 instead of 65. Conclusion: both follow what the host learns, not constants.

--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -284,6 +284,9 @@
             result = await self._exchange(call, recorder)
         except asyncio.CancelledError:
             late = call.timed_out
+            if late:
+                # Its connection may have gone silent, and the idle ones with it.
+                state.upstreams.retire_idle(placed.instance.address)
             entry["result"] = "timed-out" if late else "caller-left"
             recorder.ended(ExchangeOutcome.TIMED_OUT if late else ExchangeOutcome.ABANDONED)
             raise
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -48,7 +48,6 @@
 _IDLE_LIMIT_S = 6.0
 _UNREPEATABLE_IDLE_LIMIT_S = 4.0
 _IDLE_MARGIN_S = 1.0  # Callers that reuse a connection at the end of its idle time still arrive.
-_INSTANCE_CONNECTIONS = 390
 # Callers with an older answer still arrive after the signal to stop; the rest of the grace period
 # is for requests in flight, less this margin.
 _LINGER_SHARE = 0.4
@@ -337,7 +336,6 @@
             "connect_timeout_s": _CONNECT_TIMEOUT_S,
             "idle_limit_s": _IDLE_LIMIT_S,
             "unrepeatable_idle_limit_s": _UNREPEATABLE_IDLE_LIMIT_S,
-            "instance_connections": _INSTANCE_CONNECTIONS,
             "deadline_header": names.DEADLINE_MS,
             "request_id_header": names.REQUEST_ID,
             "shed_header": names.NOT_RUN,
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -61,6 +61,7 @@
     def configure(self, configuration: RoutingConfiguration) -> None:
         """Puts a configuration in force."""
         self.configuration = configuration
+        self._share_connections()
         self._routes = PrefixIndex(configuration.routes)
         known = self._shares
         self._shares = {}
@@ -76,6 +77,18 @@
                 choice = WeightedChoice(route.destinations, self._rng.random())
             self._shares[route.name] = choice
 
+    def _share_connections(self) -> None:
+        """Divides the connections that an instance accepts among the hosts.
+
+        The smallest limit of all services holds for each, since an address may be reused by
+        another service.
+        """
+        if self.configuration is not None and self.configuration.services:
+            limit = min(
+                service.connection_limit for service in self.configuration.services.values()
+            )
+            self.upstreams.set_nodes(self.fleet_size, limit)
+
     def find_route(self, host: str, path: str) -> PrefixRoute | None:
         """Returns the route of a request."""
         return self._routes.find(host, path)
@@ -114,7 +127,7 @@
         self.fleet_size = hosts
         self._slack = self.settings.guarantees.retry_slack * _SLACK_USED / hosts
         self._set_slack()
-        self.upstreams.set_nodes(hosts)
+        self._share_connections()
 
     @property
     def _usable_slack(self) -> float:
--- a/anviltray/edge/tests/test_budget.py
+++ b/anviltray/edge/tests/test_budget.py
@@ -29,7 +29,7 @@
 
 def start_fleet(settings, rng):
     async def make():
-        upstreams = SimpleNamespace(set_nodes=lambda count: None)
+        upstreams = SimpleNamespace(set_nodes=lambda *counts: None)
         return [EdgeState(settings, upstreams, rng) for _ in range(HOSTS)]
 
     states = asyncio.run(make())
--- a/anviltray/edge/tests/test_requests.py
+++ b/anviltray/edge/tests/test_requests.py
@@ -1,6 +1,7 @@
 """Guards against requests that run twice, untrue refusals and answers that are not whole."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -161,6 +162,35 @@
     run(tmp_path, test, answer())
 
 
+def test_idle_connections_to_an_instance_that_timed_out_are_not_used_again(tmp_path):
+    """They may have gone silent together with the one on which no answer came."""
+
+    async def test(fleet):
+        host = fleet.hosts[0]
+        address = fleet.instances[0].address
+        fast = [asyncio.create_task(fleet.call(LEVEL, request_id=f"c{n}")) for n in range(3)]
+        assert {(await call).status for call in fast} == {200}
+        assert host.state.upstreams.open_connections(address) >= 2
+        assert (await fleet.call(ORDER, b"x", Deadline_Ms="300")).status == 504
+        assert host.state.upstreams.open_connections(address) == 0
+
+    run(tmp_path, test, in_turn(*[answer(after_s=0.2)] * 3, answer(after_s=1.0)))
+
+
+@pytest.mark.parametrize(("limit", "hosts", "expected"), [(390, 1, 390), (20, 6, 3), (5, 48, 1)])
+def test_the_hosts_share_the_connections_that_an_instance_accepts(tmp_path, limit, hosts, expected):
+    async def test(fleet):
+        document = json.loads(configuration(2))
+        document["services"][0]["maxConns"] = limit
+        fleet.store.put("keyed.op", "config", json.dumps(document).encode())
+        host = fleet.hosts[0]
+        await fleet.until(lambda: host.follower.version == 2, 2.0)
+        host.state.set_fleet_size(hosts)
+        assert host.state.upstreams.connections_per_instance == expected
+
+    run(tmp_path, test, answer())
+
+
 def test_routes_follow_the_configuration(tmp_path):
     async def test(fleet):
         assert (await fleet.call("GET /none/1")).status == 404
--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -200,10 +200,19 @@
         )
         self._keys: dict[str, ConnectionKey] = {}
 
-    def set_nodes(self, count: int) -> None:
-        """Divides the connections of an instance among that many nodes."""
-        share = self._settings.instance_connections // max(1, count)
-        self._connector.connections_per_instance = max(1, share)
+    def set_nodes(self, count: int, instance_connections: int | None = None) -> None:
+        """Divides the connections of an instance among that many nodes.
+
+        An instance accepts as many as the settings say unless `instance_connections` is given.
+        """
+        if instance_connections is None:
+            instance_connections = self._settings.instance_connections
+        self._connector.connections_per_instance = max(1, instance_connections // max(1, count))
+
+    @property
+    def connections_per_instance(self) -> int:
+        """Connections to one instance that this node may have."""
+        return self._connector.connections_per_instance
 
     def retire_idle(self, address: str) -> None:
         """After a stall: lets a new connection decide whether the upstream itself is dead."""
