Believe in instances that err apart from those that reset

An answer of any status counts as accepted, which lowered the belief in sickness more than the error raised it, and an instance that fails at once has the fewest requests in flight, so it got the most. Ruled out: a larger weight of errors in the one belief; acceptance says nothing about errors, and resets are thirty times as common. Conclusion: two beliefs, each with its own phases; missing answers count like errors.

--- a/anviltray/decisions/placement/_evidence.py
+++ b/anviltray/decisions/placement/_evidence.py
@@ -1,14 +1,16 @@
 """How likely each instance is sick, from what the hosts of one availability zone see.
 
 Load pattern: at any moment some instances reset most of what they get, for seconds at a time, while
-their health checks pass. One host sends an instance less than one request a second, so it learns of
-this too late; the hosts of a zone together see several.
+their health checks pass. Others answer with errors or not at all; one that errs at once has the
+fewest requests in flight and would attract the load of its zone. One host sends an instance less
+than one request a second, so it learns of this too late; the hosts of a zone together see several.
 """
 
 import math
 from collections.abc import Iterable, Mapping
 
 from anviltray.decisions._types import ExchangeOutcome
+from anviltray.decisions.placement._belief import PhaseBelief, PhaseModel
 from anviltray.messages import InstanceBelief, InstanceObservation
 
 # A request that has been in flight for this long was accepted: instances that reset requests do so
@@ -19,28 +21,32 @@
 _OVERDUE_FACTOR = 4.0
 _OVERDUE_LEAST_S = 1.0
 
-# Two-state model of an instance, from a recorded day: sick phases last 9 s and sound ones 20 s.
-# Without news, the probability of sickness moves towards the share of sick time.
-_SICK_PHASE_S = 9.0
-_SOUND_PHASE_S = 20.0
-SICK_SHARE = _SICK_PHASE_S / (_SICK_PHASE_S + _SOUND_PHASE_S)
-_RELAXATION_S = 1 / (1 / _SICK_PHASE_S + 1 / _SOUND_PHASE_S)
-# Probability of a broken exchange at a sick and at a sound instance.
+# Resets, from a recorded day: phases last 9 s, those between them 20 s.
+_RESETTING = PhaseModel(faulty_s=9.0, sound_s=20.0)
+SICK_SHARE = _RESETTING.faulty_share
+# Errors and missing answers, from the same day: phases last 6 s and are a hundredth of the time.
+_ERRING = PhaseModel(faulty_s=6.0, sound_s=600.0)
+# Probability of a broken exchange at a resetting and at a sound instance.
 _BROKEN_WHEN_SICK = 0.85
 _BROKEN_WHEN_SOUND = 0.003
 _BROKEN = math.log(_BROKEN_WHEN_SICK / _BROKEN_WHEN_SOUND)
 _ACCEPTED = math.log((1 - _BROKEN_WHEN_SICK) / (1 - _BROKEN_WHEN_SOUND))
-# A 5xx response or a slow one is also what sound instances give to some requests.
-_SERVER_ERROR = math.log(5.0)
-_OVERDUE = math.log(12.0)
 # A whole good response, of which the acceptance was counted before.
 _GOOD = math.log(0.7)
-_EVIDENCE = {
+_RESET_EVIDENCE = {
     ExchangeOutcome.BROKEN: _BROKEN,
     ExchangeOutcome.CONNECT_FAILED: _BROKEN,
-    ExchangeOutcome.SERVER_ERROR: _SERVER_ERROR,
     ExchangeOutcome.OK: _GOOD,
 }
+# Erring instances fail half of their requests or more, sound ones up to one in 25.
+_FAILED_ANSWER = math.log(13.0)
+_WHOLE_ANSWER = math.log(0.55)
+_ERROR_EVIDENCE = {
+    ExchangeOutcome.SERVER_ERROR: _FAILED_ANSWER,
+    ExchangeOutcome.OK: _WHOLE_ANSWER,
+}
+# One failed answer of an instance is no reason to avoid it; the belief after it is below this.
+_LEAST_ERROR_DOUBT = 0.15
 # A refusal for load shows work that this zone does not know of. It counts like this many requests
 # for each slot, and half as much after the half-life.
 _REFUSAL_LOAD = 1.0
@@ -48,7 +54,6 @@
 _REFUSAL_HALF_LIFE_S = 0.5
 # What the own zone has seen of an instance goes before the belief of another zone for this long.
 _OWN_EVIDENCE_S = 2.0
-_LOG_ODDS_LIMIT = 6.0  # Bounds the belief, so that a change is noticed after few requests.
 
 _LATENCY_WEIGHT = 0.1  # Weight of one latency in the mean of a service.
 _FIRST_LATENCY_S = 0.4  # Assumed before the first response.
@@ -58,11 +63,12 @@
     """Belief about one instance and its load."""
 
     __slots__ = (
-        "_log_odds",
+        "_erring",
         "_peers",
         "_refusal_load",
         "_refused_s",
-        "_updated_s",
+        "_resetting",
+        "error_news",
         "explored_s",
         "learned_s",
         "news",
@@ -76,12 +82,13 @@
         self.peer_outstanding = 0  # Those from the other hosts of the zone.
         self.explored_s = float("-inf")  # Last request sent to learn its state.
         self.learned_s = float("-inf")  # Newest evidence of the own zone.
-        self.news = 0.0  # Log-likelihood ratio that was not reported yet.
+        self.news = 0.0  # Evidence of resets that was not reported yet, a log-likelihood ratio.
+        self.error_news = 0.0  # The same for errors.
         self.refusals = 0  # Refusals that were not reported yet.
         self._refusal_load = 0.0  # Requests for each slot as of `_refused_s`.
         self._refused_s = 0.0
-        self._log_odds = math.log(SICK_SHARE / (1 - SICK_SHARE))
-        self._updated_s = float("-inf")
+        self._resetting = PhaseBelief(_RESETTING)
+        self._erring = PhaseBelief(_ERRING)
         self._peers: dict[str, int] = {}
 
     @property
@@ -92,28 +99,36 @@
     @property
     def updated_s(self) -> float:
         """Time of the newest evidence."""
-        return self._updated_s
+        return max(self._resetting.updated_s, self._erring.updated_s)
+
+    def resetting(self, now_s: float) -> float:
+        """Returns the probability that the instance resets most requests."""
+        return self._resetting.probability(now_s)
+
+    def erring(self, now_s: float) -> float:
+        """Returns the probability that it answers many requests with errors or too late."""
+        return self._erring.probability(now_s)
 
     def sickness(self, now_s: float) -> float:
-        """Returns the probability that the instance is sick."""
-        believed = 1 / (1 + math.exp(-self._log_odds))
-        kept = math.exp(-max(0.0, now_s - self._updated_s) / _RELAXATION_S)
-        return SICK_SHARE + (believed - SICK_SHARE) * kept
-
-    def learn(self, now_s: float, log_likelihood_ratio: float) -> None:
-        """Adds evidence; above 0 it speaks for sickness."""
-        sickness = self.sickness(now_s)
-        log_odds = math.log(sickness / (1 - sickness)) + log_likelihood_ratio
-        self._log_odds = max(-_LOG_ODDS_LIMIT, min(_LOG_ODDS_LIMIT, log_odds))
-        self._updated_s = self.learned_s = now_s
-
-    def adopt(self, now_s: float, sickness: float) -> None:
+        """Returns the probability that the instance is sick in any way."""
+        resetting, erring = self.resetting(now_s), self.erring(now_s)
+        if erring < _LEAST_ERROR_DOUBT:
+            return resetting
+        return resetting + (1 - resetting) * erring
+
+    def learn(self, now_s: float, ratio: float, error_ratio: float) -> None:
+        """Adds evidence of resets and of errors, both as log-likelihood ratios."""
+        if ratio:
+            self._resetting.learn(now_s, ratio)
+        if error_ratio:
+            self._erring.learn(now_s, error_ratio)
+        self.learned_s = now_s
+
+    def adopt(self, now_s: float, belief: InstanceBelief) -> None:
         """Takes the belief of the zone in which the instance is."""
-        if now_s - self.learned_s < _OWN_EVIDENCE_S or not 0 < sickness < 1:
-            return
-        log_odds = math.log(sickness / (1 - sickness))
-        self._log_odds = max(-_LOG_ODDS_LIMIT, min(_LOG_ODDS_LIMIT, log_odds))
-        self._updated_s = now_s
+        if now_s - self.learned_s >= _OWN_EVIDENCE_S:
+            self._resetting.adopt(now_s, belief.resetting)
+            self._erring.adopt(now_s, belief.erring)
 
     def refused(self, now_s: float, count: int) -> None:
         """Takes refusals for load."""
@@ -167,11 +182,11 @@
 
     def accepted(self, now_s: float, instance: str) -> None:
         """A request has been in flight for `ACCEPTED_AFTER_S`, or got a response."""
-        self._learn(now_s, instance, _ACCEPTED)
+        self._learn(now_s, instance, _ACCEPTED, 0.0)
 
     def overdue(self, now_s: float, instance: str) -> None:
         """A request has got no response for `overdue_after_s`."""
-        self._learn(now_s, instance, _OVERDUE)
+        self._learn(now_s, instance, 0.0, _FAILED_ANSWER)
 
     def ended(
         self,
@@ -184,9 +199,10 @@
         """A request has ended."""
         self.of(instance).outstanding -= 1
         self._changed.add(instance)
-        ratio = _EVIDENCE.get(outcome, 0.0)
-        if ratio:
-            self._learn(now_s, instance, ratio)
+        ratio = _RESET_EVIDENCE.get(outcome, 0.0)
+        error_ratio = _ERROR_EVIDENCE.get(outcome, 0.0)
+        if ratio or error_ratio:
+            self._learn(now_s, instance, ratio, error_ratio)
         if outcome is ExchangeOutcome.REFUSED:
             self.of(instance).refused(now_s, 1)
             self.of(instance).refusals += 1
@@ -195,12 +211,13 @@
             mean_s = self.mean_latency_s(service)
             self._latency_s[service] = mean_s + _LATENCY_WEIGHT * (latency_s - mean_s)
 
-    def _learn(self, now_s: float, instance: str, ratio: float) -> None:
+    def _learn(self, now_s: float, instance: str, ratio: float, error_ratio: float) -> None:
         evidence = self.of(instance)
-        evidence.learn(now_s, ratio)
+        evidence.learn(now_s, ratio, error_ratio)
         evidence.news += ratio
+        evidence.error_news += error_ratio
         self._changed.add(instance)
-        if ratio > 0:
+        if ratio > 0 or error_ratio > 0:
             self.urgent = True
 
     def take_observations(self) -> tuple[InstanceObservation, ...]:
@@ -210,10 +227,14 @@
             evidence = self.of(instance)
             observations.append(
                 InstanceObservation(
-                    instance, evidence.outstanding, evidence.news, evidence.refusals
+                    instance,
+                    evidence.outstanding,
+                    evidence.news,
+                    evidence.error_news,
+                    evidence.refusals,
                 )
             )
-            evidence.news, evidence.refusals = 0.0, 0
+            evidence.news, evidence.error_news, evidence.refusals = 0.0, 0.0, 0
         self._changed.clear()
         self.urgent = False
         return tuple(observations)
@@ -225,8 +246,10 @@
         for observation in observations:
             evidence = self.of(observation.instance)
             evidence.set_peer(host, observation.outstanding)
-            if observation.log_likelihood_ratio:
-                evidence.learn(now_s, observation.log_likelihood_ratio)
+            ratio = observation.log_likelihood_ratio
+            error_ratio = observation.error_log_likelihood_ratio
+            if ratio or error_ratio:
+                evidence.learn(now_s, ratio, error_ratio)
             if observation.refusals > 0:
                 evidence.refused(now_s, observation.refusals)
 
@@ -235,16 +258,22 @@
         found = []
         for instance in instances:
             evidence = self.of(instance)
-            if now_s - evidence.learned_s < _RELAXATION_S:
-                sickness = round(evidence.sickness(now_s), 3)
-                found.append(InstanceBelief(instance, sickness, evidence.total_outstanding))
+            if now_s - evidence.learned_s < _RESETTING.relaxation_s:
+                found.append(
+                    InstanceBelief(
+                        instance,
+                        round(evidence.resetting(now_s), 3),
+                        round(evidence.erring(now_s), 3),
+                        evidence.total_outstanding,
+                    )
+                )
         return tuple(found)
 
     def zone_beliefs(self, now_s: float, zone: str, beliefs: Iterable[InstanceBelief]) -> None:
         """Takes the beliefs of another zone about its instances."""
         for belief in beliefs:
             evidence = self.of(belief.instance)
-            evidence.adopt(now_s, belief.sickness)
+            evidence.adopt(now_s, belief)
             evidence.set_peer(zone, belief.outstanding)
 
     def peer_gone(self, host: str) -> None:
--- a/anviltray/decisions/placement/tests/test_evidence.py
+++ b/anviltray/decisions/placement/tests/test_evidence.py
@@ -89,14 +89,14 @@
     if own is not None:
         board.started("i-1")
         board.ended(0.5, "i-1", "keeper", own, 0.01)
-    board.zone_beliefs(1.0, "lautoka", [InstanceBelief("i-1", reported, 3)])
+    board.zone_beliefs(1.0, "lautoka", [InstanceBelief("i-1", reported, 0.01, 3)])
     assert low <= board.of("i-1").sickness(1.0) <= high
     assert board.of("i-1").total_outstanding == 3
 
 
 def test_a_zone_reports_only_what_it_has_seen_itself():
     board = EvidenceBoard()
-    board.zone_beliefs(1.0, "lautoka", [InstanceBelief("i-1", 0.5, 3)])
+    board.zone_beliefs(1.0, "lautoka", [InstanceBelief("i-1", 0.5, 0.01, 3)])
     board.accepted(1.0, "i-2")
     assert [belief.instance for belief in board.beliefs(1.5, ["i-1", "i-2", "i-3"])] == ["i-2"]
 
--- a/anviltray/messages/_generated.py
+++ b/anviltray/messages/_generated.py
@@ -151,18 +151,20 @@
     instance: str  # Instance id.
     outstanding: int  # Requests in flight from the sending host.
     log_likelihood_ratio: (
-        float  # Evidence since the last report, sick against sound; natural logarithm.
+        float  # Evidence since the last report, resetting against sound; natural logarithm.
     )
+    error_log_likelihood_ratio: float  # The same for erring against sound.
     refusals: int  # Requests that the instance has refused for load since the last report.
 
 
 def _decode_instance_observation(data: Any) -> InstanceObservation:
-    items = check_arity("InstanceObservation", data, 4)
+    items = check_arity("InstanceObservation", data, 5)
     return InstanceObservation(
         instance=take_str(items[0]),
         outstanding=take_int(items[1]),
         log_likelihood_ratio=take_float(items[2]),
-        refusals=take_int(items[3]),
+        error_log_likelihood_ratio=take_float(items[3]),
+        refusals=take_int(items[4]),
     )
 
 
@@ -170,16 +172,18 @@
     """What one availability zone believes about one of its instances."""
 
     instance: str  # Instance id.
-    sickness: float  # Probability that it is sick.
+    resetting: float  # Probability that it resets most requests.
+    erring: float  # Probability that it answers many requests with errors or too late.
     outstanding: int  # Requests in flight from that zone.
 
 
 def _decode_instance_belief(data: Any) -> InstanceBelief:
-    items = check_arity("InstanceBelief", data, 3)
+    items = check_arity("InstanceBelief", data, 4)
     return InstanceBelief(
         instance=take_str(items[0]),
-        sickness=take_float(items[1]),
-        outstanding=take_int(items[2]),
+        resetting=take_float(items[1]),
+        erring=take_float(items[2]),
+        outstanding=take_int(items[3]),
     )
 
 
