Take a request as accepted only once the instance's kernel has received it

Ruled out: TCP_USER_TIMEOUT, which would also break requests that must not be repeated on links that only lose packets; a shorter limit for overdue requests, which sound instances exceed under load. Conclusion: unacknowledged segments after 0.3 s count like a connection that cannot be opened, and idempotent requests go to another instance then.

--- a/anviltray/callers/_attempt.py
+++ b/anviltray/callers/_attempt.py
@@ -62,7 +62,7 @@
         self._exchange = context.board.started(now, self._service, self.address, fresh)
         context.loads.started(self.address)
 
-    def writing(self) -> None:
+    def writing(self, acknowledged: Callable[[], bool]) -> None:
         """The first byte of the request is about to be written."""
         self.written = True
         self._attempts.record(self.number, AttemptEvent.WRITE)
--- a/anviltray/decisions/placement/__init__.py
+++ b/anviltray/decisions/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from anviltray.decisions.placement._evidence import (
     ACCEPTED_AFTER_S,
+    UNACKNOWLEDGED_S,
     EvidenceBoard,
     InstanceEvidence,
 )
@@ -17,6 +18,7 @@
 
 __all__ = [
     "ACCEPTED_AFTER_S",
+    "UNACKNOWLEDGED_S",
     "EvidenceBoard",
     "InstanceEvidence",
     "Place",
--- a/anviltray/decisions/placement/_evidence.py
+++ b/anviltray/decisions/placement/_evidence.py
@@ -16,6 +16,9 @@
 # A request that has been in flight for this long was accepted: instances that reset requests do so
 # within milliseconds.
 ACCEPTED_AFTER_S = 0.06
+# A request that the instance's kernel has not acknowledged after this was sent into the void. Links
+# that lose some packets need one retransmission, 200 ms after the first segment.
+UNACKNOWLEDGED_S = 0.3
 # A request counts as overdue after this multiple of the mean time of its service, and not earlier
 # than the least time.
 _OVERDUE_FACTOR = 4.0
@@ -184,6 +187,13 @@
         """A request has been in flight for `ACCEPTED_AFTER_S`, or got a response."""
         self._learn(now_s, instance, _ACCEPTED, 0.0)
 
+    def unacknowledged(self, now_s: float, instance: str) -> None:
+        """A request has not been received after `UNACKNOWLEDGED_S`.
+
+        The instance or its link is gone, as if a connection could not be opened.
+        """
+        self._learn(now_s, instance, _BROKEN, 0.0)
+
     def overdue(self, now_s: float, instance: str) -> None:
         """A request has got no response for `overdue_after_s`."""
         self._learn(now_s, instance, 0.0, _FAILED_ANSWER)
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -309,10 +309,18 @@
         try:
             # From here on bytes may be on their way.
             call.cancellable = call.route.idempotent
-            response = await client.send(
-                recorder.placed.instance.address, self._request(call, recorder.placed), recorder
-            )
-            return await self._take(call, recorder, response)
+            async with asyncio.timeout(None) as limit:
+                if call.route.idempotent:
+                    recorder.on_vanished = lambda: limit.reschedule(self._loop.time())
+                response = await client.send(
+                    recorder.placed.instance.address, self._request(call, recorder.placed), recorder
+                )
+                return await self._take(call, recorder, response)
+        except TimeoutError:
+            # Another instance may still answer in time; this one has not even received the request.
+            recorder.ended(ExchangeOutcome.ABANDONED)
+            client.retire_idle(recorder.placed.instance.address)
+            return Unknown("vanished")
         except (ConnectFailed, ConnectionsExhausted) as error:
             call.cancellable = True
             if isinstance(error, ConnectionsExhausted):
--- a/anviltray/edge/_send.py
+++ b/anviltray/edge/_send.py
@@ -1,10 +1,16 @@
 """One send of a request to an instance: its evidence and its result."""
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 from anviltray.decisions import ExchangeOutcome
-from anviltray.decisions.placement import ACCEPTED_AFTER_S, EvidenceBoard, Placed
+from anviltray.decisions.placement import (
+    ACCEPTED_AFTER_S,
+    UNACKNOWLEDGED_S,
+    EvidenceBoard,
+    Placed,
+)
 
 
 class SendRecorder:
@@ -12,11 +18,13 @@
 
     __slots__ = (
         "_accepted",
+        "_acknowledged",
         "_board",
         "_ended",
         "_loop",
         "_service",
         "_timer",
+        "on_vanished",
         "placed",
         "started_s",
         "written",
@@ -28,19 +36,23 @@
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self._accepted = False
+        self._acknowledged: Callable[[], bool] = lambda: True
         self._ended = False
         self.placed = placed
         self.written = False  # False as long as it is certain that no byte was written.
+        # Called if the instance does not receive the request in time.
+        self.on_vanished: Callable[[], None] = lambda: None
         self.started_s = self._loop.time()
         board.started(placed.instance.id)
 
     def connection(self, fresh: bool) -> None:
         """A connection is chosen, or a new one is about to be opened."""
 
-    def writing(self) -> None:
+    def writing(self, acknowledged: Callable[[], bool]) -> None:
         """The first byte of the request is about to be written."""
         self.written = True
         self.started_s = self._loop.time()
+        self._acknowledged = acknowledged
         self._timer = self._loop.call_later(ACCEPTED_AFTER_S, self._still_in_flight)
 
     def first_byte(self) -> None:
@@ -53,9 +65,19 @@
             self._board.accepted(self._loop.time(), self.placed.instance.id)
 
     def _still_in_flight(self) -> None:
-        self.accepted()
-        limit_s = self._board.overdue_after_s(self._service)
-        self._timer = self._loop.call_later(limit_s, self._overdue)
+        if self._acknowledged():
+            self.accepted()
+            limit_s = self._board.overdue_after_s(self._service)
+            self._timer = self._loop.call_later(limit_s, self._overdue)
+            return
+        now_s = self._loop.time()
+        left_s = self.started_s + UNACKNOWLEDGED_S - now_s
+        if left_s > 0:
+            # A lost segment is sent again, so the same question is asked a little later.
+            self._timer = self._loop.call_later(left_s, self._still_in_flight)
+        else:
+            self._board.unacknowledged(now_s, self.placed.instance.id)
+            self.on_vanished()
 
     def _overdue(self) -> None:
         self._board.overdue(self._loop.time(), self.placed.instance.id)
--- a/anviltray/edge/tests/test_requests.py
+++ b/anviltray/edge/tests/test_requests.py
@@ -177,6 +177,30 @@
     run(tmp_path, test, in_turn(*[answer(after_s=0.2)] * 3, answer(after_s=1.0)))
 
 
+@pytest.mark.parametrize(("head", "status", "sends"), [(LEVEL, 200, 2), (ORDER, 504, 1)])
+def test_an_instance_that_vanishes_delays_an_idempotent_request_little(
+    tmp_path, monkeypatch, head, status, sends
+):
+    """Nobody acknowledges what is sent on the first connection."""
+    vanished = []
+
+    def acknowledged(transport):
+        vanished[:] = vanished or [transport]
+        return transport is not vanished[0]
+
+    monkeypatch.setattr("anviltray.upstreams._client.is_acknowledged", acknowledged)
+
+    async def test(fleet):
+        start_s = asyncio.get_running_loop().time()
+        response = await fleet.call(head, b"" if head == LEVEL else b"x", Deadline_Ms="1200")
+        taken_s = asyncio.get_running_loop().time() - start_s
+        assert (response.status, fleet.received()) == (status, sends)
+        assert taken_s < 0.8 if head == LEVEL else taken_s > 1.1
+
+    first_silent = in_turn(answer(after_s=5.0), answer())
+    run(tmp_path, test, first_silent, first_silent)
+
+
 @pytest.mark.parametrize(("limit", "hosts", "expected"), [(390, 1, 390), (20, 6, 3), (5, 48, 1)])
 def test_the_hosts_share_the_connections_that_an_instance_accepts(tmp_path, limit, hosts, expected):
     async def test(fleet):
--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -1,7 +1,8 @@
 """Sends requests to upstreams over pooled connections."""
 
 import asyncio
-from collections.abc import AsyncIterable, Iterable
+import functools
+from collections.abc import AsyncIterable, Callable, Iterable
 from typing import NamedTuple, Protocol
 
 from aiohttp import (
@@ -22,6 +23,7 @@
 from yarl import URL
 
 from anviltray.settings import UpstreamSettings
+from anviltray.upstreams._acknowledgement import is_acknowledged
 from anviltray.upstreams._connector import UpstreamConnector
 from anviltray.upstreams._dialect import NO_SIGNALS, Dialect, Signals
 from anviltray.upstreams._errors import (
@@ -64,8 +66,11 @@
     def connection(self, fresh: bool) -> None:
         """A connection is chosen, or a new one is about to be opened."""
 
-    def writing(self) -> None:
-        """The first byte of the request is about to be written."""
+    def writing(self, acknowledged: Callable[[], bool]) -> None:
+        """The first byte of the request is about to be written.
+
+        `acknowledged` tells later whether the kernel of the upstream has received all of it.
+        """
 
     def first_byte(self) -> None:
         """The head of the response has arrived."""
@@ -77,7 +82,7 @@
     def connection(self, fresh: bool) -> None:
         """See ExchangeObserver."""
 
-    def writing(self) -> None:
+    def writing(self, acknowledged: Callable[[], bool]) -> None:
         """See ExchangeObserver."""
 
     def first_byte(self) -> None:
@@ -246,7 +251,7 @@
             max_field_size=FIELD_LIMIT_BYTES,
             max_headers=FIELD_LIMIT_COUNT,
         )
-        observer.writing()
+        observer.writing(functools.partial(is_acknowledged, protocol.transport))
         response: ClientResponse | None = None
         try:
             response = await message.send(connection)
--- a/anviltray/upstreams/tests/test_client.py
+++ b/anviltray/upstreams/tests/test_client.py
@@ -30,8 +30,8 @@
     def connection(self, fresh):
         self.fresh = fresh
 
-    def writing(self):
-        self.written = True
+    def writing(self, acknowledged):
+        self.written, self.acknowledged = True, acknowledged
 
 
 def run(test, answer, **settings):
@@ -289,3 +289,11 @@
         assert await client.probe(upstream.address, 0.5) is healthy
 
     run(test, answer)
+
+
+def test_a_request_that_was_received_is_acknowledged():
+    async def test(client, upstream):
+        _, _, observer = await exchange(client, upstream.address)
+        assert observer.acknowledged()
+
+    run(test, ok())
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -38,8 +38,8 @@
 # The zone's reader waits this long at the store for a new configuration. The wait is short, because
 # a connection that has gone silent shows only when an answer is overdue.
 _CONFIGURATION_WAIT_S = 1.2
-# Hosts load at different moments of this span, and the later ones of a zone ask the earlier. Two reads
-# each by the 126 hosts of the largest known fleet stay below a quarter of the store's limit.
+# Hosts load at different moments of this span, and the later ones of a zone ask the earlier. Two
+# reads each by 126 hosts, the largest known fleet, stay below a quarter of the store's limit.
 _LOAD_SPREAD_S = 0.2
 _RETRY_S = (0.25, 1.0)  # Shortest and longest pause after a failed call.
 # The zone has lost the store if none of its hosts has read for this long.
