--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -51,6 +51,8 @@
 _BODY_TOO_SLOW = Problem(408, "body-timeout", "the request body took too long", close=True)
 _FAULT = Problem(500, "internal-error", "the host failed", "unknown", close=True)
 
+_LEAST_FAILURE = 500  # Lower statuses are answers to the request itself (RFC 9110, 15.6).
+
 Result = WholeResponse | NotRun | Unknown
 
 
@@ -142,7 +144,10 @@
         try:
             status = await self._serve(call)
         except InputError as error:
-            status = self._answer_problem(exchange, head, error.problem)
+            problem = error.problem
+            if call.history and problem.status == _BODY_TOO_SLOW.status:
+                problem = _TIMED_OUT._replace(close=True)
+            status = self._answer_problem(exchange, head, problem)
         except asyncio.CancelledError:
             if exchange.disconnected and not call.timed_out:
                 self._metrics.count("callers_left")
@@ -159,9 +164,10 @@
             self._record(call, status)
 
     def _time_out(self, call: EdgeCall) -> Problem:
-        if not call.body.ended:
-            return _BODY_TOO_SLOW
-        return _REFUSED if call.cancellable and not call.history else _TIMED_OUT
+        if call.history:
+            # An instance may have begun to work on the part of the body that has reached it.
+            return _TIMED_OUT
+        return _REFUSED if call.body.ended else _BODY_TOO_SLOW
 
     @property
     def _version(self) -> int:
@@ -169,8 +175,11 @@
         return -1 if configuration is None else configuration.version
 
     def _record(self, call: EdgeCall, status: int) -> None:
-        latency_s = self._loop.time() - call.received_s
+        now_s = self._loop.time()
+        latency_s = now_s - call.received_s
         self._metrics.answered(call.service, status, latency_s)
+        if status:
+            self._state.unserved.ended(now_s, call.service, status < _LEAST_FAILURE)
         _log.info(
             "answered" if status else "caller left",
             extra={
@@ -212,6 +221,9 @@
             progress.take(placed, result)
             if not self._goes_on(call, progress, result):
                 break
+            if call.exchange.disconnected:
+                self._metrics.count("callers_left")
+                return 0
         if progress.response is not None:
             return self._answer(call, progress.response)
         problem = _BROKEN if progress.may_have_run else progress.problem
@@ -231,6 +243,7 @@
             target_s=route.target_latency_s,
             exclude=progress.tried,
             only_explorer=first and not state.has_explorers(call.service),
+            unserved_share=state.unserved.share(now_s, call.service),
         )
         return state.placement.choose(now_s, request, state.directory.usable(call.service))
 
