--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -250,8 +250,10 @@
             max_field_size=FIELD_LIMIT_BYTES,
             max_headers=FIELD_LIMIT_COUNT,
         )
-        transport, started_s = protocol.transport, self._loop.time()
-        observer.writing(lambda: is_acknowledged(transport, self._loop.time() - started_s))
+        # Some segments of a streamed body are always on their way, which is no sign of a fault.
+        whole = request.body is None or isinstance(request.body, bytes)
+        transport = protocol.transport if whole else None
+        observer.writing(lambda: is_acknowledged(transport))
         response: ClientResponse | None = None
         try:
             response = await message.send(connection)
--- a/anviltray/upstreams/tests/test_client.py
+++ b/anviltray/upstreams/tests/test_client.py
@@ -297,3 +297,21 @@
         assert observer.acknowledged()
 
     run(test, ok())
+
+
+@pytest.mark.parametrize(("streamed", "expected"), [(False, False), (True, True)])
+def test_segments_of_a_streamed_body_on_their_way_are_no_proof(monkeypatch, streamed, expected):
+    monkeypatch.setattr(
+        "anviltray.upstreams._client.is_acknowledged", lambda transport: transport is None
+    )
+
+    async def chunks():
+        yield b"order"
+
+    async def test(client, upstream):
+        body = chunks() if streamed else b"order"
+        request = UpstreamRequest("POST", "/", (), body, chunked=streamed, unrepeatable=True)
+        _, _, observer = await exchange(client, upstream.address, request)
+        assert observer.acknowledged() is expected
+
+    run(test, ok())
