Test with requests that must not be repeated only where a service has no others

Cause: a request that would be turned away tested a doubtful instance whether it could be sent again or not. Its caller can come back after a refusal; after a broken exchange it cannot. Found by reading. Ruled out: no such tests at all for services without idempotent requests; their instances would return after 8 s only, see test_floor. Conclusion: idempotent requests test where there are any.

--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -29,8 +29,9 @@
 # Where no idempotent request could test an instance, another one does after this pause. The mean
 # sick phase is over by then, and without a test the instance would not return to service.
 _BLIND_PAUSE_S = 8.0
-# Above this share of unserved requests any request tests after the shorter pause: operators ask for
-# most sound instances in use within two seconds when a tenth of the requests is not served.
+# Above this share of unserved requests tests need no room in the retry budget and come after this
+# pause. Operators ask for most sound instances in use within two seconds when a tenth of the
+# requests of a service is not served.
 _FLOOR_UNSERVED = 0.1
 _FLOOR_PAUSE_S = 1.2
 # A request that would be turned away tests a doubtful instance instead after this pause.
@@ -137,7 +138,8 @@
         )
         expected_s = self._expected_s(request.service, best.load, allowed_s)
         if expected_s > allowed_s:
-            tested = self._explore(now_s, candidates, _SPARE_PAUSE_S)
+            pause_s = _SPARE_PAUSE_S if _may_test(request) else math.inf
+            tested = self._explore(now_s, candidates, pause_s)
             if tested is not None:
                 return _placed(now_s, tested, explores=True)
             excess_s = expected_s - allowed_s
@@ -195,11 +197,20 @@
         return delay_s * (1 + _RETRY_SPREAD * self._rng.random())
 
 
+def _may_test(request: PlacementRequest) -> bool:
+    """Tells whether a request may go to a doubtful instance without room in the retry budget.
+
+    One that must not be repeated does so only if its service has no others, since its caller can
+    come back after a refusal but not after a broken exchange.
+    """
+    return request.repeatable or request.only_explorer
+
+
 def _explore_pause_s(request: PlacementRequest) -> float:
     """Returns how long nothing must have been heard of an instance that the request may test."""
     if request.explores:
         return _EXPLORE_PAUSE_S
-    if request.unserved_share > _FLOOR_UNSERVED:
+    if request.unserved_share > _FLOOR_UNSERVED and _may_test(request):
         return _FLOOR_PAUSE_S
     return _BLIND_PAUSE_S if request.only_explorer else math.inf
 
--- a/anviltray/decisions/placement/tests/test_placement.py
+++ b/anviltray/decisions/placement/tests/test_placement.py
@@ -172,6 +172,28 @@
     assert found == turned_away
 
 
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({"repeatable": True}, "i-1"),
+        ({"only_explorer": True}, "i-1"),
+        # It must not be repeated, and the service has idempotent requests for tests.
+        ({}, None),
+        ({"unserved_share": 0.3}, None),
+        ({"repeatable": True, "unserved_share": 0.3}, "i-1"),
+    ],
+)
+def test_what_would_be_turned_away_tests_an_instance_unless_it_would_be_lost(changes, expected):
+    host = Host()
+    host.believe(1.0, "i-1", True)
+    host.believe(2.9, "i-2", False)
+    host.load("i-2", 24)
+    wanted = request(target_s=0.8)._replace(**changes)
+    chosen = host.choose(3.0, wanted, [instance(1), instance(2)])
+    found = None if isinstance(chosen, TurnedAway) else chosen.instance.id
+    assert found == expected
+
+
 @pytest.mark.parametrize("instances", [[], [instance(1)]])
 def test_nothing_left_to_try(instances):
     answer = Host().choose(1.0, request(exclude=["i-1"]), instances)
