--- a/anviltray/edge/tests/test_budget.py
+++ b/anviltray/edge/tests/test_budget.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 import random
 from bisect import bisect_left
 from types import SimpleNamespace
@@ -46,7 +47,22 @@
     return states
 
 
-def assert_within_budget(requests, repeats):
+def assert_within_budget(settings, rate, restart_interval_s=math.inf):
+    """Replays 40 s in which each request would be sent once more; `rate(now_s)` is per second."""
+    rng = random.Random(1)
+    states = start_fleet(settings, rng, granted=True)
+    requests, repeats = [], []
+    now_s, restart_s = 0.0, restart_interval_s
+    while now_s < 40.0:
+        now_s += rng.expovariate(rate(now_s))
+        if now_s >= restart_s:
+            restart_s += restart_interval_s
+            states = start_fleet(settings, rng)
+        budget = rng.choice(states).retry_budget("keeper")
+        budget.request(now_s)
+        requests.append(now_s)
+        if budget.take(now_s):
+            repeats.append(now_s)
     for step in range(0, 300):
         start_s = step / 10
         counted = max(in_window(requests, start_s - back_s) for back_s in (0.0, 5.0, 10.0))
@@ -57,18 +73,7 @@
 @pytest.mark.parametrize("burst", [1.0, 1.9, 6.0])
 def test_repeats_of_the_fleet(tmp_path, calm_s, burst):
     settings = load_settings(tmp_path)
-    rng = random.Random(1)
-    states = start_fleet(settings, rng, granted=True)
-    requests, repeats = [], []
-    now_s = 0.0
-    while now_s < 40.0:
-        now_s += rng.expovariate(rate_s(now_s, calm_s, burst))
-        budget = rng.choice(states).retry_budget("keeper")
-        budget.request(now_s)
-        requests.append(now_s)
-        if budget.take(now_s):
-            repeats.append(now_s)
-    assert_within_budget(requests, repeats)
+    assert_within_budget(settings, lambda now_s: rate_s(now_s, calm_s, burst))
 
 
 @pytest.mark.parametrize("calm_s", [5.0, 60.0, 250.0])
@@ -76,18 +81,4 @@
 def test_repeats_of_a_fleet_that_restarts(tmp_path, calm_s, restart_interval_s):
     """A new process does not know what its predecessor has spent of the slack."""
     settings = load_settings(tmp_path)
-    rng = random.Random(1)
-    states = start_fleet(settings, rng, granted=True)
-    requests, repeats = [], []
-    now_s, restart_s = 0.0, restart_interval_s
-    while now_s < 40.0:
-        now_s += rng.expovariate(calm_s)
-        if now_s >= restart_s:
-            restart_s += restart_interval_s
-            states = start_fleet(settings, rng)
-        budget = rng.choice(states).retry_budget("keeper")
-        budget.request(now_s)
-        requests.append(now_s)
-        if budget.take(now_s):
-            repeats.append(now_s)
-    assert_within_budget(requests, repeats)
+    assert_within_budget(settings, lambda now_s: calm_s, restart_interval_s)
