--- a/anviltray/callers/_runner.py
+++ b/anviltray/callers/_runner.py
@@ -112,7 +112,13 @@
         if source is not None and not isinstance(source, bytes) and not chunked:
             headers.append(("Content-Length", str(body.length)))
         request = UpstreamRequest(
-            head.method, head.target, headers, source, chunked, call.rule is None
+            head.method,
+            head.target,
+            headers,
+            source,
+            chunked,
+            unrepeatable=call.rule is None,
+            request_id=call.request_id,
         )
         timer = self._loop.call_at(
             now + _attempt_timeout_s(call, remaining, attempts_left), call.expire
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -112,7 +112,6 @@
         self._loop = asyncio.get_running_loop()
         self._caller_headers = caller_headers
         self.set_limits(settings)
-        self._request_id_name = caller_headers.request_id
         self._instance_header = instance_header
         self._seal_name = seal_header.lower().encode()
 
@@ -374,7 +373,13 @@
         if source is not None and not isinstance(source, bytes) and not body.chunked:
             headers.append(("Content-Length", str(body.length)))
         return UpstreamRequest(
-            head.method, head.target, headers, source, body.chunked, not call.route.idempotent
+            head.method,
+            head.target,
+            headers,
+            source,
+            body.chunked,
+            unrepeatable=not call.route.idempotent,
+            request_id=head.request_id,
         )
 
     async def _read_response(
@@ -391,11 +396,6 @@
             call.cancellable = True
             return NotExecuted("refused")
         fields = dict(response.headers)
-        expected = call.head.request_id
-        found = fields.get(self._request_id_name)
-        if expected is not None and found is not None and found != expected.encode():
-            # A delayed response to an earlier request on this connection.
-            raise InvalidResponse(f"the response belongs to request {found!r}")
         if 200 <= response.status < 300 and self._seal_name not in fields:
             raise InvalidResponse("a success without the seal of the instance")
         recorder.report_accepted()
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -353,6 +353,7 @@
             "request_id_header": names.REQUEST_ID_HEADER,
             "shed_header": names.NOT_EXECUTED_HEADER,
             "refusal_statuses": names.REFUSAL_STATUSES,
+            "require_request_id": True,
             "accept_unframed": True,
             "drain_header": "",
             "load_header": "",
--- a/anviltray/edge/tests/test_requests.py
+++ b/anviltray/edge/tests/test_requests.py
@@ -31,9 +31,19 @@
 
 TRUNCATED = f"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n{SEAL}Request-Id: c1\r\n\r\nfin".encode()
 FOREIGN = f"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n{SEAL}Request-Id: c0\r\n\r\nfine".encode()
+WHOLE = f"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n{SEAL}Request-Id: c1\r\n\r\nfine".encode()
+CHUNKED = (
+    f"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n{SEAL}Request-Id: c1\r\n\r\n"
+    "4\r\nfine\r\n0\r\n\r\n"
+).encode()
 UNFRAMED = f"HTTP/1.1 200 OK\r\n{SEAL}Request-Id: c1\r\n\r\nwhole".encode()
 
 
+def foreign_refusal(status, request_id="Request-Id: c0\r\n"):
+    """Returns the handler of an instance that repeats its refusal of an earlier request."""
+    return respond(status, b"", f"Not-Executed: 1\r\n{request_id}", echo=False)
+
+
 async def unframed_reset(request, writer):
     writer.write(UNFRAMED)
     await writer.drain()
@@ -69,6 +79,22 @@
         (ORDER, raw(b"no protocol\r\n\r\n"), 502, 1),
         (ORDER, raw(UNFRAMED), 200, 1),
         (ORDER, in_turn(unframed_reset, respond()), 502, 1),
+        # The refusal of another request proves nothing about this one.
+        (ORDER, in_turn(foreign_refusal("503 Service Unavailable"), respond()), 502, 1),
+        (ORDER, in_turn(foreign_refusal("429 Too Many Requests"), respond()), 502, 1),
+        (ORDER, in_turn(foreign_refusal("400 Bad Request"), respond()), 502, 1),
+        (ORDER, in_turn(foreign_refusal("421 Misdirected Request"), respond()), 502, 1),
+        (LEVEL, in_turn(foreign_refusal("503 Service Unavailable"), respond()), 200, 2),
+        # Neither does a response that does not say to which request it belongs.
+        (ORDER, in_turn(foreign_refusal("503 Service Unavailable", ""), respond()), 502, 1),
+        (ORDER, in_turn(foreign_refusal("421 Misdirected Request", ""), respond()), 502, 1),
+        (ORDER, in_turn(respond(echo=False), respond()), 502, 1),
+        # A complete response is delivered, whatever follows it.
+        (ORDER, raw(WHOLE + b"no protocol\r\n\r\n"), 200, 1),
+        (ORDER, raw(WHOLE + b"\x00" * 1000, then_close=False), 200, 1),
+        (ORDER, raw(WHOLE + FOREIGN), 200, 1),
+        (ORDER, raw(CHUNKED + b"no protocol\r\n\r\n", then_close=False), 200, 1),
+        (ORDER, raw(b"HTTP/1.1 103 Early Hints\r\n\r\n" + WHOLE + b"no protocol"), 200, 1),
     ],
 )
 def test_responses_and_attempts(tmp_path, head, handler, status, attempts):
@@ -85,6 +111,24 @@
     run(tmp_path, test, handler, handler)
 
 
+def test_repeated_refusal_on_a_kept_connection_is_not_believed(tmp_path):
+    """The instance refuses one request, and runs the next one but repeats the refusal."""
+
+    async def repeat_refusal(request, writer):
+        return await foreign_refusal("503 Service Unavailable", "Request-Id: c1\r\n")(
+            request, writer
+        )
+
+    async def test(fleet):
+        assert (await fleet.call(ORDER, b"order", request_id="c1")).status == 503
+        response = await fleet.call(ORDER, b"order", request_id="c2")
+        assert response.status == 502
+        assert "retry-after" not in response.headers
+        assert (fleet.received(), fleet.instances[0].connections) == (2, 1)
+
+    run(tmp_path, test, in_turn(refuse(), repeat_refusal, respond()))
+
+
 def test_instance_receives_request_with_remaining_time(tmp_path):
     async def test(fleet):
         await fleet.call("POST /order/a?b=c", b"body", Deadline_Ms="900", X_Own="1")
--- a/anviltray/settings/_generated.py
+++ b/anviltray/settings/_generated.py
@@ -94,6 +94,7 @@
     refusal_statuses: tuple[
         int, ...
     ]  # Statuses that mean a rejected request if the shed header is present.
+    require_request_id: bool  # Whether a response must repeat the request identifier.
     accept_unframed: (
         bool  # Whether the close of the connection may end a response without a length.
     )
@@ -117,6 +118,7 @@
         request_id_header=data.get("request_id_header", "X-Request-Id"),
         shed_header=data.get("shed_header", "X-Shed"),
         refusal_statuses=tuple(data.get("refusal_statuses", [503])),
+        require_request_id=data.get("require_request_id", False),
         accept_unframed=data.get("accept_unframed", False),
         drain_header=data.get("drain_header", "X-Draining"),
         load_header=data.get("load_header", "X-Load"),
--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -53,6 +53,7 @@
     chunked: bool = False  # Whether the length of a streamed body is not in the headers.
     unrepeatable: bool = False  # Requires a connection that was idle only for a short time.
     fresh: bool = False  # Requires a new connection.
+    request_id: str | None = None  # Identifier that the response must not contradict.
 
 
 class ExchangeObserver(Protocol):
@@ -259,11 +260,14 @@
             response = await message.send(connection)
             await response.start(connection)
             observer.on_first_byte()
-            return self._build_response(request.method, response)
+            return self._build_response(request, response)
         except BaseException as error:
             if response is not None:
                 response.close()
             connection.close()
+            if isinstance(error, InvalidResponse):
+                # A response that was received completely has returned its connection to the pool.
+                self.close_idle(address)
             if isinstance(error, _TRANSPORT_ERRORS):
                 raise ExchangeBroken(f"{address}: {error or type(error).__name__}") from error
             raise
@@ -293,7 +297,10 @@
         except _TRANSPORT_ERRORS as error:
             raise ConnectFailed(f"{address}: {error or type(error).__name__}") from error
 
-    def _build_response(self, method: str, response: ClientResponse) -> UpstreamResponse:
+    def _build_response(
+        self, request: UpstreamRequest, response: ClientResponse
+    ) -> UpstreamResponse:
+        self._check_request_id(request.request_id, response)
         signal_headers = self.dialect.signal_headers
         headers: list[tuple[bytes, bytes]] = []
         signal_fields: list[tuple[bytes, bytes]] = []
@@ -317,7 +324,7 @@
         status = response.status
         if status < 200 or status > 599:
             raise InvalidResponse(f"expected a response status from 200 to 599, got {status}")
-        has_no_body = status in (204, 304) or method == "HEAD"
+        has_no_body = status in (204, 304) or request.method == "HEAD"
         if not framed and not has_no_body and not self._settings.accept_unframed:
             # A truncated response without a length looks like a complete one.
             raise InvalidResponse(
@@ -326,6 +333,18 @@
         signals = self.dialect.signals(status, signal_fields) if signal_fields else NO_SIGNALS
         return UpstreamResponse(response, headers, signals)
 
+    def _check_request_id(self, request_id: str | None, response: ClientResponse) -> None:
+        """Raises InvalidResponse if the response is not certain to belong to the request.
+
+        An upstream may write a response to an earlier request once more. Nothing in it says what
+        happened to this request, not even that it was refused.
+        """
+        found = response.headers.getall(self.dialect.request_id_header, ())
+        if any(value != request_id for value in found):
+            raise InvalidResponse(f"the response belongs to request {found!r}")
+        if self._settings.require_request_id and request_id is not None and not found:
+            raise InvalidResponse("the response has no request identifier")
+
     async def probe(self, address: str, timeout_s: float) -> bool:
         """Queries the health endpoint over a new connection; any failure counts as unhealthy."""
         request = UpstreamRequest("GET", self.dialect.health_path, (), fresh=True)
@@ -339,6 +358,7 @@
             self.dialect.cancel_path,
             ((self.dialect.request_id_header, request_id),),
             fresh=True,  # The connection of the cancelled exchange may have stalled.
+            request_id=request_id,
         )
         result = await self._send_and_read(address, request, timeout_s)
         return result is not None and self.dialect.confirms_not_started(*result)
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -1,22 +1,115 @@
 """Connection pool for upstreams with checked reuse and a limit per instance."""
 
+import asyncio
 import functools
 import select
+from http import HTTPStatus
 from time import monotonic
+from typing import Any
 
-from aiohttp import ClientPayloadError, ClientTimeout, TCPConnector
+from aiohttp import ClientPayloadError, ClientTimeout, StreamReader, TCPConnector
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest, ConnectionKey
 from aiohttp.connector import Connection
+from aiohttp.http import HttpProcessingError, RawResponseMessage
+
+# Limit for all response heads of one exchange, with the informational ones before the final head.
+_HEADS_LIMIT_BYTES = 131072
+_INFORMATIONAL_LIMIT = 16  # Maximum number of informational responses in one exchange.
+# Limit for bytes of chunk lengths and extensions. Chunks of one byte have five bytes of framing.
+_FRAMING_LIMIT_BYTES = 65536
+_FRAMING_FACTOR = 8
+_HEAD_END = b"\r\n\r\n"
+_FIRST_FINAL_STATUS = 200
 
 
 class _ResponseHandler(ResponseHandler):
-    """Fails the body of a response if the remaining bytes cannot be parsed.
+    """Delivers a complete response whatever follows it, and bounds bytes that are no response.
 
-    aiohttp reports an invalid chunk only to the reader of the next response head, so the reader of
-    the body would wait until its deadline.
+    aiohttp drops a complete response if bytes in the same segment cannot be parsed, accepts
+    informational responses and chunk extensions without end, and reports an invalid chunk only to
+    the reader of the next response head.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop=loop)
+        self._has_final_head = False
+        self._last_bytes = b""  # End of the data so far, as a head may end across two segments.
+        self._head_bytes = 0
+        self._informational_count = 0
+        self._received_body_bytes = 0  # With their framing.
+
+    def set_response_params(self, **arguments: Any) -> None:
+        """Prepares for the response to the next request on this connection."""
+        self._has_final_head = False
+        self._last_bytes = b""
+        self._head_bytes = 0
+        self._informational_count = 0
+        self._received_body_bytes = 0
+        super().set_response_params(**arguments)
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """Adds a response head to the queue; drops informational ones."""
+        status = data[0].code
+        if status >= _FIRST_FINAL_STATUS or status == HTTPStatus.SWITCHING_PROTOCOLS:
+            self._has_final_head = True
+            super().feed_data(data, size)
+        else:
+            self._informational_count += 1
+
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes; an exchange ends with the last byte of its response."""
+        if not self._has_final_head:
+            data = self._parse_heads(data)
+            if not data:
+                return
+        if data and (self._payload is None or self._payload.is_eof()):
+            # The bytes belong to no request, so nothing else on this connection is believed.
+            self._should_close = True
+            if self.transport is not None:
+                self.transport.close()
+            return
+        self._received_body_bytes += len(data)
+        super().data_received(data)
+        self._check_framing()
+
+    def _parse_heads(self, data: bytes) -> bytes:
+        """Parses up to the end of the final head and returns the bytes after it.
+
+        The parser gets each head separately, because it loses the heads of a call that fails.
+        """
+        while data and not self._has_final_head:
+            overlap = len(self._last_bytes)
+            start = (self._last_bytes + data).find(_HEAD_END)
+            end = len(data) if start < 0 else start + len(_HEAD_END) - overlap
+            head, data = data[:end], data[end:]
+            self._last_bytes = b"" if start >= 0 else (self._last_bytes + head)[-3:]
+            self._head_bytes += len(head)
+            super().data_received(head)
+            if self._exception is not None:
+                return b""
+            if (
+                self._head_bytes > _HEADS_LIMIT_BYTES
+                or self._informational_count > _INFORMATIONAL_LIMIT
+            ):
+                self._fail("the response heads are too large")
+                return b""
+        return data
+
+    def _check_framing(self) -> None:
+        payload = self._payload
+        # A paused parser keeps bytes that it has not counted yet.
+        if payload is None or payload.is_eof() or self._reading_paused:
+            return
+        framing_bytes = self._received_body_bytes - payload.total_bytes
+        if framing_bytes > _FRAMING_LIMIT_BYTES + _FRAMING_FACTOR * payload.total_bytes:
+            self._fail("the framing of the response body is too large")
+
+    def _fail(self, reason: str) -> None:
+        if self.transport is not None:
+            self.transport.close()
+        self.set_exception(HttpProcessingError(message=reason))
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fails the body of the current response if the connection was lost with an error.
 
--- a/anviltray/upstreams/tests/test_client.py
+++ b/anviltray/upstreams/tests/test_client.py
@@ -136,6 +136,121 @@
     run(test, handler)
 
 
+FLOOD_LIMIT_BYTES = 1_000_000  # Includes the socket buffers of both ends.
+
+
+def flood(start, block):
+    """Returns a handler that writes `start` and then `block` until the connection is closed."""
+
+    async def handler(request, writer):
+        handler.written = len(start)
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
+        writer.write(start)
+        while handler.written < 4 * FLOOD_LIMIT_BYTES:
+            writer.write(block)
+            await writer.drain()
+            handler.written += len(block)
+        return False
+
+    return handler
+
+
+@pytest.mark.parametrize(
+    ("start", "block"),
+    [
+        (b"", b"x" * 16_384),
+        (b"HTTP/1.1 200 OK\r\nX-Endless: ", b"x" * 16_384),
+        (b"HTTP/1.1 200 OK\r\n", b"X-Endless: x\r\n" * 1000),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;x=", b"x" * 16_384),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"0" * 16_384),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X: x\r\n" * 2000),
+    ],
+    ids=["bytes", "field", "fields", "informational", "extension", "chunk length", "trailers"],
+)
+def test_endless_bytes_that_are_no_response_end_the_exchange(start, block):
+    async def test(client, upstream):
+        started_s = asyncio.get_running_loop().time()
+        with pytest.raises(UpstreamError):
+            await exchange(client, upstream.address)
+        assert asyncio.get_running_loop().time() - started_s < 2.0
+        await asyncio.sleep(0.1)
+        assert upstream.answer.written < FLOOD_LIMIT_BYTES
+        assert client.open_connections(upstream.address) == upstream.open == 0
+
+    run(test, flood(start, block))
+
+
+@pytest.mark.parametrize("block", [b"x" * 16_384, b"HTTP/1.1 100 Continue\r\n\r\n" * 500])
+def test_endless_bytes_after_a_response_close_its_connection(block):
+    async def test(client, upstream):
+        _, body, _ = await exchange(client, upstream.address)
+        assert body == b"own"
+        await asyncio.sleep(0.1)
+        assert upstream.answer.written < FLOOD_LIMIT_BYTES
+        assert upstream.open == 0
+
+    run(test, flood(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown", block))
+
+
+@pytest.mark.parametrize("size_bytes", [0, 1, 3_000_000])
+@pytest.mark.parametrize("split_at", [1, 17, 40, 60, 200_000])
+def test_responses_arrive_whole_however_they_are_segmented(size_bytes, split_at):
+    body = b"x" * size_bytes
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Own: y\r\n\r\n" % size_bytes + body
+
+    async def handler(request, writer):
+        writer.write(data[:split_at])
+        await writer.drain()
+        await asyncio.sleep(0.01)
+        writer.write(data[split_at:])
+        await writer.drain()
+
+    async def test(client, upstream):
+        for reused in (False, True):
+            response = await client.send(upstream.address, GET, observer := Observer())
+            assert observer.fresh is not reused
+            assert await response.read(4_000_000) == body
+            response.close()
+
+    run(test, handler)
+
+
+def test_chunks_of_one_byte_are_accepted():
+    chunks = b"1\r\nx\r\n" * 40_000
+    data = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+
+    async def test(client, upstream):
+        _, body, _ = await exchange(client, upstream.address)
+        assert body == b"x" * 40_000
+
+    run(test, raw(data))
+
+
+@pytest.mark.parametrize(
+    ("found", "required", "accepted"),
+    [
+        ("X-Request-Id: own\r\n", True, True),
+        ("X-Request-Id: other\r\n", False, False),
+        ("X-Request-Id: own\r\nX-Request-Id: other\r\n", False, False),
+        ("", False, True),
+        ("", True, False),
+    ],
+)
+def test_response_must_not_belong_to_another_request(found, required, accepted):
+    async def test(client, upstream):
+        request = POST._replace(request_id="own")
+        if accepted:
+            assert (await exchange(client, upstream.address, request))[1] == b"fine"
+        else:
+            with pytest.raises(InvalidResponse):
+                await exchange(client, upstream.address, request)
+            assert client.open_connections(upstream.address) == 0
+
+    run(test, ok(headers=found), require_request_id=required)
+
+
 def test_an_abandoned_exchange_closes_its_connection():
     async def handler(request, writer):
         await asyncio.sleep(0.2)
