--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -17,6 +17,10 @@
 # to the local availability zone, the local region and other regions.
 _BUSY_COST = 0.3
 _DISTANCE_COST = (0.0, 0.3, 0.7)
+# Cost of a new connection, which takes round trips and briefly a slot of the instance. It is below
+# the cost of distance and of one waiting request, so that it only decides between instances with
+# similar load in the same zone.
+_CONNECT_COST = 0.25
 # Cost of certain failure in the same unit. A failed request that is not retryable is lost; a
 # retryable one takes another attempt.
 _NON_RETRYABLE_FAILURE_COST = 8.0
@@ -66,6 +70,7 @@
     exclude: frozenset[str] = frozenset()  # Instances that were tried before.
     no_other_explorers: bool = False  # The service has no idempotent requests that could explore.
     unserved_share: float = 0.0  # Share of the service's recent requests that were not served.
+    unrepeatable: bool = False  # Whether it must not run twice, whatever attempts are left.
 
 
 class Placed(NamedTuple):
@@ -93,6 +98,13 @@
         """See `InstanceDirectory.is_warming`."""
 
 
+class ConnectionView(Protocol):
+    """Provides the idle connections to instances."""
+
+    def can_reuse(self, address: str, unrepeatable: bool) -> bool:
+        """See `UpstreamClient.can_reuse`."""
+
+
 class _Candidate(NamedTuple):
     instance: Instance
     health: InstanceHealth
@@ -109,12 +121,14 @@
         zone_regions: dict[str, str],
         tracker: HealthTracker,
         warmup: WarmupView,
+        connections: ConnectionView,
         rng: Random,
     ) -> None:
         self._locality = locality
         self._zone_regions = zone_regions
         self._tracker = tracker
         self._warmup = warmup
+        self._connections = connections
         self._rng = rng
 
     def choose(
@@ -156,6 +170,8 @@
         cost = max(0.0, load - 1) + _BUSY_COST * load + _DISTANCE_COST[self._distance(instance)]
         failure_cost = _RETRYABLE_FAILURE_COST if request.retryable else _NON_RETRYABLE_FAILURE_COST
         cost += failure_cost * health.unhealthy_probability(now_s)
+        if not self._connections.can_reuse(instance.address, request.unrepeatable):
+            cost += _CONNECT_COST
         # Random noise, because hosts with the same observations would all choose the same instance.
         return _Candidate(instance, health, load, cost + 0.05 * self._rng.random())
 
--- a/anviltray/decisions/placement/tests/test_placement.py
+++ b/anviltray/decisions/placement/tests/test_placement.py
@@ -40,8 +40,12 @@
         self.tracker = HealthTracker()
         self.directory = InstanceDirectory()
         self.placement = Placement(
-            Locality("viti", "suva"), ZONES, self.tracker, self.directory, random.Random(seed)
+            Locality("viti", "suva"), ZONES, self.tracker, self.directory, self, random.Random(seed)
         )
+        self.reusable = set()  # Addresses with an idle connection.
+
+    def can_reuse(self, address, unrepeatable):
+        return address in self.reusable
 
     def choose(self, now_s, placement_request, instances):
         return self.placement.choose(now_s, placement_request, instances)
--- a/anviltray/decisions/retries/__init__.py
+++ b/anviltray/decisions/retries/__init__.py
@@ -2,6 +2,18 @@
 
 from anviltray.decisions.retries._budget import RetryBudget
 from anviltray.decisions.retries._hedge import hedge_delay_s
+from anviltray.decisions.retries._response_times import (
+    ResponseTimeModel,
+    ResponseTimes,
+    hedge_rules,
+)
 from anviltray.decisions.retries._rules import rule_for
 
-__all__ = ["RetryBudget", "hedge_delay_s", "rule_for"]
+__all__ = [
+    "ResponseTimeModel",
+    "ResponseTimes",
+    "RetryBudget",
+    "hedge_delay_s",
+    "hedge_rules",
+    "rule_for",
+]
--- a/anviltray/edge/_attempt.py
+++ b/anviltray/edge/_attempt.py
@@ -22,6 +22,7 @@
         "_ended",
         "_health_tracker",
         "_loop",
+        "_overdue_after_s",
         "_service",
         "_timer",
         "on_unacknowledged",
@@ -30,8 +31,15 @@
         "written",
     )
 
-    def __init__(self, health_tracker: HealthTracker, service: str, placed: Placed) -> None:
+    def __init__(
+        self,
+        health_tracker: HealthTracker,
+        service: str,
+        placed: Placed,
+        overdue_after_s: float | None = None,
+    ) -> None:
         self._health_tracker = health_tracker
+        self._overdue_after_s = overdue_after_s  # By default the tracker's limit for the service.
         self._service = service
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
@@ -67,7 +75,9 @@
     def _check_accepted(self) -> None:
         if self._acknowledged():
             self.report_accepted()
-            limit_s = self._health_tracker.overdue_after_s(self._service)
+            limit_s = self._overdue_after_s
+            if limit_s is None:
+                limit_s = self._health_tracker.overdue_after_s(self._service)
             self._timer = self._loop.call_later(limit_s, self._report_overdue)
             return
         now_s = self._loop.time()
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -59,6 +59,13 @@
 AttemptResult = CompleteResponse | NotExecuted | OutcomeUnknown
 
 
+def _is_success(result: AttemptResult | None) -> bool:
+    """Returns whether an attempt has a response for the caller; None means it was streamed."""
+    if isinstance(result, CompleteResponse):
+        return result.status < _MIN_FAILURE_STATUS
+    return result is None
+
+
 class _Progress:
     """Accumulated results of the attempts of one request."""
 
@@ -236,7 +243,7 @@
                 retry_after_s = round(placed.retry_after_s, 2)
                 progress.problem = _REFUSED._replace(retry_after_s=retry_after_s)
                 break
-            result = await self._attempt(call, placed)
+            placed, result = await self._attempt_hedged(call, placed, progress)
             if result is None:
                 return 200
             progress.record(placed, result)
@@ -265,9 +272,30 @@
             exclude=progress.tried_instances,
             no_other_explorers=first and not state.has_idempotent_routes(call.service),
             unserved_share=state.unserved.share(now_s, call.service),
+            unrepeatable=not route.idempotent,
         )
         return state.placement.choose(now_s, request, state.directory.usable(call.service))
 
+    def _choose_hedge(self, call: EdgeCall, progress: "_Progress", first: Placed) -> Placed | None:
+        """Returns an instance with a free slot for a second attempt; acquires its retry budget."""
+        state, route = self._state, call.route
+        now_s = self._loop.time()
+        if progress.attempts + 2 > route.instance_limit:
+            return None
+        request = PlacementRequest(
+            call.service,
+            retryable=False,
+            may_explore=False,
+            priority=route.priority,
+            remaining_s=call.remaining_s(now_s),
+            target_s=route.target_latency_s,
+            exclude=progress.tried_instances | {first.instance.id},
+        )
+        placed = state.placement.choose(now_s, request, state.directory.usable(call.service))
+        if isinstance(placed, Shed) or placed.load > 1:
+            return None
+        return placed if self._acquire_retry(call, progress.attempts + 1) else None
+
     def _should_retry(self, call: EdgeCall, progress: "_Progress", result: "AttemptResult") -> bool:
         """Returns whether to make another attempt; acquires its retry budget.
 
@@ -292,10 +320,49 @@
             self._metrics.count("retries_over_budget")
         return allowed
 
-    async def _attempt(self, call: EdgeCall, placed: Placed) -> AttemptResult | None:
+    async def _attempt_hedged(
+        self, call: EdgeCall, placed: Placed, progress: "_Progress"
+    ) -> tuple[Placed, AttemptResult | None]:
+        """Sends the request, and if the response is overdue also to a second instance.
+
+        Returns the first successful result, else the last one. The other attempt is cancelled.
+        """
+        route, now_s = call.route, self._loop.time()
+        may_hedge = progress.attempts + 2 <= route.instance_limit
+        if not (route.idempotent and may_hedge and call.body.ended and call.body.can_resend):
+            return placed, await self._attempt(call, placed)
+        health = self._state.health_tracker.health(placed.instance.id)
+        delay_s = self._state.response_times.hedge_delay_s(
+            route.name, route.target_latency_s, health.error_probability(now_s)
+        )
+        running = {asyncio.create_task(self._attempt(call, placed, delay_s)): placed}
+        try:
+            await asyncio.wait(running, timeout=delay_s)
+            if not any(task.done() for task in running):
+                hedge = self._choose_hedge(call, progress, placed)
+                if hedge is not None:
+                    self._metrics.count("hedges")
+                    running[asyncio.create_task(self._attempt(call, hedge, delay_s))] = hedge
+            while True:
+                done, _ = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
+                for task in done:
+                    placed, result = running.pop(task), task.result()
+                    streaming = result is not None and call.exchange.response_started
+                    if not running or (_is_success(result) and not streaming):
+                        return placed, result
+                    if result is not None:
+                        progress.record(placed, result)
+        finally:
+            for task in running:
+                task.cancel()
+            await asyncio.gather(*running, return_exceptions=True)
+
+    async def _attempt(
+        self, call: EdgeCall, placed: Placed, overdue_after_s: float | None = None
+    ) -> AttemptResult | None:
         """Sends the request to an instance; returns None if the response was streamed."""
         state = self._state
-        recorder = AttemptRecorder(state.health_tracker, call.service, placed)
+        recorder = AttemptRecorder(state.health_tracker, call.service, placed, overdue_after_s)
         entry = {
             "instance": placed.instance.id,
             "load": round(placed.load, 2),
@@ -311,7 +378,14 @@
             if timed_out:
                 # The connection may be dead, and so may idle ones to the same address.
                 state.upstreams.close_idle(placed.instance.address)
-            entry["result"] = "timed-out" if timed_out else "caller-left"
+            if timed_out:
+                entry["result"] = "timed-out"
+            elif call.exchange.disconnected:
+                entry["result"] = "caller-left"
+            else:
+                entry["result"] = "overtaken"
+                self._record_response_time(call, recorder)
+            entry["ms"] = round((self._loop.time() - recorder.started_s) * 1000)
             recorder.finish(ExchangeOutcome.TIMED_OUT if timed_out else ExchangeOutcome.ABANDONED)
             raise
         except BaseException:
@@ -322,11 +396,19 @@
             if isinstance(result, CompleteResponse)
             else ("passed-on" if result is None else result.reason)
         )
+        if _is_success(result):
+            self._record_response_time(call, recorder)
         if state.health_tracker.urgent:
             state.urgent.set()
         entry["ms"] = round((self._loop.time() - recorder.started_s) * 1000)
         return result
 
+    def _record_response_time(self, call: EdgeCall, recorder: AttemptRecorder) -> None:
+        route = call.route
+        if route.idempotent:
+            elapsed_s = self._loop.time() - recorder.started_s
+            self._state.response_times.record(route.name, route.target_latency_s, elapsed_s)
+
     async def _exchange(self, call: EdgeCall, recorder: AttemptRecorder) -> AttemptResult | None:
         client = self._state.upstreams
         response: UpstreamResponse | None = None
@@ -403,6 +485,9 @@
         while chunk := await response.read_chunk():
             body += chunk
             if len(body) > MAX_BUFFERED_BYTES:
+                if call.exchange.response_started:
+                    recorder.finish(ExchangeOutcome.ABANDONED)
+                    return OutcomeUnknown("overtaken")
                 await self._stream_response(call, recorder, response, bytes(body))
                 return None
         failed = response.status >= 500
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -47,9 +47,10 @@
 # Round trips take at most 16 ms, and an unreachable instance must not delay a request for longer
 # than this timeout.
 _CONNECT_TIMEOUT_S = 0.4
-# Instances close a connection that is idle for 10 s, and a request sent at that moment is lost.
-_IDLE_LIMIT_S = 6.0
-_UNREPEATABLE_IDLE_LIMIT_S = 4.0
+# Instances close idle connections, after a timeout that most of them state, and a request sent at
+# that moment is lost.
+_IDLE_LIMIT_S = 8.0
+_UNREPEATABLE_IDLE_LIMIT_S = 5.0
 # Added to the configured idle timeout, for callers that reuse a connection just before it expires.
 _IDLE_MARGIN_S = 1.0
 # Fraction of the grace period in which a stopping host still accepts callers that have a cached
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -11,7 +11,7 @@
     UnservedShare,
     WeightedChoice,
 )
-from anviltray.decisions.retries import RetryBudget
+from anviltray.decisions.retries import ResponseTimes, RetryBudget
 from anviltray.declarations import PrefixIndex, PrefixRoute, RoutingConfiguration
 from anviltray.settings import HostSettings
 from anviltray.upstreams import UpstreamClient
@@ -45,8 +45,10 @@
             dict(settings.zone_regions),
             self.health_tracker,
             self.directory,
+            upstreams,
             rng,
         )
+        self.response_times = ResponseTimes()
         self.unserved = UnservedShare()
         self.configuration: RoutingConfiguration | None = None
         self.shutting_down = False
@@ -78,6 +80,7 @@
             if choice is None or choice.destinations != route.destinations:
                 choice = WeightedChoice(route.destinations, self._rng.random())
             self._service_choices[route.name] = choice
+        self.response_times.keep_only(frozenset(self._service_choices))
 
     def _divide_connections(self) -> None:
         """Divides the connections that an instance accepts among the hosts.
--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -223,6 +223,16 @@
         """Closes idle connections, so that the next exchange after a stall opens a new one."""
         self._connector.close_idle(self._key(address))
 
+    def can_reuse(self, address: str, unrepeatable: bool) -> bool:
+        """Returns whether a request would be sent on an idle connection instead of a new one."""
+        return self._connector.has_idle(self._key(address), self._idle_limit_s(unrepeatable))
+
+    def _idle_limit_s(self, unrepeatable: bool) -> float:
+        settings = self._settings
+        if unrepeatable:
+            return min(settings.idle_limit_s, settings.unrepeatable_idle_limit_s)
+        return settings.idle_limit_s
+
     def open_connections(self, address: str) -> int:
         """Returns the number of open connections to an instance."""
         return self._connector.open_connections(self._key(address))
@@ -280,12 +290,9 @@
         observer: ExchangeObserver,
     ) -> Connection:
         key = self._key(address)
-        settings = self._settings
         if not request.fresh:
-            limit = settings.idle_limit_s
-            if request.unrepeatable:
-                limit = min(limit, settings.unrepeatable_idle_limit_s)
-            connection = self._connector.acquire_idle(key, limit)
+            limit_s = self._idle_limit_s(request.unrepeatable)
+            connection = self._connector.acquire_idle(key, limit_s)
             if connection is not None:
                 observer.on_connection(False)
                 return connection
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import functools
+import math
+import re
 import select
 from http import HTTPStatus
 from time import monotonic
 from typing import Any
 
-from aiohttp import ClientPayloadError, ClientTimeout, StreamReader, TCPConnector
+from aiohttp import ClientPayloadError, ClientTimeout, StreamReader, TCPConnector, hdrs
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest, ConnectionKey
 from aiohttp.connector import Connection
@@ -21,6 +23,10 @@
 _FRAMING_FACTOR = 8
 _HEAD_END = b"\r\n\r\n"
 _FIRST_FINAL_STATUS = 200
+# Share of the idle timeout stated by an upstream in which its connections are reused. A request
+# that crosses the close of its connection is lost.
+_KEEP_ALIVE_SHARE = 0.8
+_KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[,;\s])timeout\s*=\s*\"?(\d{1,6})", re.IGNORECASE)
 
 
 class _ResponseHandler(ResponseHandler):
@@ -33,6 +39,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop=loop)
+        self.idle_limit_s = math.inf  # From the idle timeout that the upstream has stated.
         self._has_final_head = False
         self._last_bytes = b""  # End of the data so far, as a head may end across two segments.
         self._head_bytes = 0
@@ -53,6 +60,9 @@
         status = data[0].code
         if status >= _FIRST_FINAL_STATUS or status == HTTPStatus.SWITCHING_PROTOCOLS:
             self._has_final_head = True
+            timeout = _KEEP_ALIVE_TIMEOUT.search(data[0].headers.get(hdrs.KEEP_ALIVE, ""))
+            if timeout is not None:
+                self.idle_limit_s = _KEEP_ALIVE_SHARE * int(timeout[1])
             super().feed_data(data, size)
         else:
             self._informational_count += 1
@@ -164,7 +174,7 @@
         reused: ResponseHandler | None = None
         while idle:
             protocol, idle_since = idle[-1]
-            if now - idle_since > idle_limit_s:
+            if now - idle_since > min(idle_limit_s, _stated_limit_s(protocol)):
                 break  # The remaining ones have been idle for longer.
             idle.pop()
             if _is_reusable(protocol):
@@ -179,6 +189,15 @@
         self._open_counts[key] = self._open_counts.get(key, 0) + 1
         return Connection(self, key, reused, self._loop)
 
+    def has_idle(self, key: ConnectionKey, idle_limit_s: float) -> bool:
+        """Returns whether there is an open idle connection within the idle limit."""
+        idle = self._conns.get(key)
+        if not idle:
+            return False
+        protocol, idle_since = idle[-1]
+        limit_s = min(idle_limit_s, _stated_limit_s(protocol))
+        return protocol.is_connected() and monotonic() - idle_since <= limit_s
+
     async def open(
         self, request: ClientRequest, key: ConnectionKey, timeout: ClientTimeout
     ) -> Connection:
@@ -230,15 +249,19 @@
         else:
             self._open_counts.pop(key, None)
 
+    def _is_expired(self, now: float, protocol: ResponseHandler, idle_since: float) -> bool:
+        limit_s = min(self._idle_limit_s, _stated_limit_s(protocol))
+        return now - idle_since > limit_s or not protocol.is_connected()
+
     def _cleanup(self) -> None:
         # aiohttp calls this every `keepalive_timeout` while there are idle connections.
         if self._cleanup_handle is not None:
             self._cleanup_handle.cancel()
             self._cleanup_handle = None
-        oldest = monotonic() - self._idle_limit_s
+        now = monotonic()
         for key in list(self._conns):
             idle = self._conns[key]
-            while idle and (idle[0][1] < oldest or not idle[0][0].is_connected()):
+            while idle and self._is_expired(now, *idle[0]):
                 idle.popleft()[0].close()
             if not idle:
                 del self._conns[key]
@@ -246,6 +269,11 @@
             self._cleanup_handle = self._loop.call_later(self._idle_limit_s / 4, self._cleanup)
 
 
+def _stated_limit_s(protocol: ResponseHandler) -> float:
+    """Returns the idle limit that follows from what the upstream has stated."""
+    return protocol.idle_limit_s if isinstance(protocol, _ResponseHandler) else math.inf
+
+
 def _is_reusable(protocol: ResponseHandler) -> bool:
     """Returns whether an idle connection is open and has no unread input.
 
--- a/anviltray/upstreams/tests/test_client.py
+++ b/anviltray/upstreams/tests/test_client.py
@@ -136,6 +136,27 @@
     run(test, handler)
 
 
+@pytest.mark.parametrize(
+    ("header", "reused"),
+    [
+        ("", True),
+        ("Keep-Alive: timeout=5, max=9\r\n", True),
+        ("Keep-Alive: timeout=1\r\n", False),
+        ('Keep-Alive: max=9; TIMEOUT = "1"\r\n', False),
+        ("Keep-Alive: timeout=soon\r\n", True),
+    ],
+)
+def test_connections_are_not_reused_close_to_the_stated_timeout(header, reused):
+    async def test(client, upstream):
+        await exchange(client, upstream.address)
+        await asyncio.sleep(0.85)
+        assert client.can_reuse(upstream.address, unrepeatable=False) is reused
+        _, _, observer = await exchange(client, upstream.address)
+        assert observer.fresh is not reused
+
+    run(test, ok(headers=header))
+
+
 FLOOD_LIMIT_BYTES = 1_000_000  # Includes the socket buffers of both ends.
 
 
