--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -293,8 +293,12 @@
         )
         placed = state.placement.choose(now_s, request, state.directory.usable(call.service))
         if isinstance(placed, Shed) or placed.load > 1:
+            call.history[-1]["hedge"] = "no free instance"
             return None
-        return placed if self._acquire_retry(call, progress.attempts + 1) else None
+        if not self._acquire_retry(call, progress.attempts + 1):
+            call.history[-1]["hedge"] = "no budget"
+            return None
+        return placed
 
     def _should_retry(self, call: EdgeCall, progress: "_Progress", result: "AttemptResult") -> bool:
         """Returns whether to make another attempt; acquires its retry budget.
