--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -122,7 +122,9 @@
         self._slack_timer = loop.call_later(self.state.slack_delay_s, self.state.enable_slack)
         await self.exchange.start()
         internal_application = create_application(
-            DirectoryResource(self.entry_addresses, _ADDRESS_LIST_LIFETIME_S),
+            DirectoryResource(
+                self.entry_addresses, self.not_ready_reasons, _ADDRESS_LIST_LIFETIME_S, self.metrics
+            ),
             ReadinessResource(self.not_ready_reasons),
             SnapshotResource(self.follower.snapshot),
             MetricsResource(self.metrics),
--- a/anviltray/edge/_resources.py
+++ b/anviltray/edge/_resources.py
@@ -5,6 +5,7 @@
 
 import falcon
 import falcon.asgi
+import logbook
 
 from anviltray.edge._metrics import EdgeMetrics
 from anviltray.messages import StoreSnapshot
@@ -13,22 +14,50 @@
 
 METRICS_PATH = "/metrics"
 
+_log = logbook.Logger("anviltray.edge")
 
-class DirectoryResource:
-    """Lists the addresses that callers connect to."""
 
-    def __init__(self, addresses: Callable[[], Sequence[str]], lifetime_s: float) -> None:
+class DirectoryResource:
+    """Lists the addresses that callers connect to.
+
+    `reasons` returns why this host itself accepts no requests, for the log. Only the first of
+    several lookups without an address is logged; the metrics count all of them.
+    """
+
+    def __init__(
+        self,
+        addresses: Callable[[], Sequence[str]],
+        reasons: Callable[[], Sequence[str]],
+        lifetime_s: float,
+        metrics: EdgeMetrics,
+    ) -> None:
         self._addresses = addresses
+        self._reasons = reasons
         self._lifetime_s = lifetime_s
+        self._metrics = metrics
+        self._available = True  # Whether the latest lookup got an address.
 
     async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         """Responds with the ready hosts of this zone; callers query their own zone first."""
         addresses = self._addresses()
+        self._record_lookup(bool(addresses))
         if not addresses:
             raise falcon.HTTPServiceUnavailable(title="no host is ready")
         response.content_type = falcon.MEDIA_JSON
         response.data = encode_addresses(addresses, self._lifetime_s)
 
+    def _record_lookup(self, available: bool) -> None:
+        self._metrics.count("lookups")
+        if not available:
+            self._metrics.count("lookups_unavailable")
+        if available != self._available:
+            self._available = available
+            if available:
+                _log.info("directory lookups get addresses again")
+            else:
+                reasons = list(self._reasons())
+                _log.warning("directory lookup without a ready host", extra={"reasons": reasons})
+
 
 class ReadinessResource:
     """Reports whether this host accepts requests."""
--- a/anviltray/edge/tests/test_operations.py
+++ b/anviltray/edge/tests/test_operations.py
@@ -67,3 +67,25 @@
     assert ("anviltray.store", "configuration 2 replaces 1, from store") in [
         entry[:2] for entry in lines
     ]
+
+
+def test_lookup_without_a_ready_host_is_logged_once(tmp_path):
+    async def test(fleet):
+        async def look_up():
+            return await fleet.page("/v1/resolve?name=x", 0, "directory_address")
+
+        state = fleet.hosts[0].state
+        state.shutting_down = True
+        assert [(await look_up()).status for _ in range(3)] == [503] * 3
+        state.shutting_down = False
+        assert (await look_up()).status == 200
+        metrics = (await fleet.page("/metrics")).body
+        assert b'anviltray_events_total{event="lookups"} 4.0' in metrics
+        assert b'anviltray_events_total{event="lookups_unavailable"} 3.0' in metrics
+
+    lines = logged_lines(tmp_path, test, respond())
+    found = [(message, extra) for _, message, extra in lines if "directory" in message]
+    assert found == [
+        ("directory lookup without a ready host", {"reasons": ["the host is stopping"]}),
+        ("directory lookups get addresses again", {}),
+    ]
