--- a/anviltray/decisions/retries/__init__.py
+++ b/anviltray/decisions/retries/__init__.py
@@ -2,6 +2,7 @@
 
 from anviltray.decisions.retries._budget import RetryBudget
 from anviltray.decisions.retries._hedge import hedge_delay_s
+from anviltray.decisions.retries._pool import LOAN_LIFETIME_S, LoanRequest, RetryPool
 from anviltray.decisions.retries._response_times import (
     ResponseTimeModel,
     ResponseTimes,
@@ -10,9 +11,12 @@
 from anviltray.decisions.retries._rules import rule_for
 
 __all__ = [
+    "LOAN_LIFETIME_S",
+    "LoanRequest",
     "ResponseTimeModel",
     "ResponseTimes",
     "RetryBudget",
+    "RetryPool",
     "hedge_delay_s",
     "hedge_rules",
     "rule_for",
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -18,6 +18,7 @@
 from anviltray.decisions.placement import Placed, PlacementRequest, Shed
 from anviltray.edge._attempt import AttemptRecorder, CompleteResponse, NotExecuted, OutcomeUnknown
 from anviltray.edge._call import EdgeCall
+from anviltray.edge._loans import RetryLoans
 from anviltray.edge._metrics import EdgeMetrics
 from anviltray.edge._state import EdgeState
 from anviltray.settings import CallerSettings
@@ -108,6 +109,7 @@
     def __init__(
         self,
         state: EdgeState,
+        loans: RetryLoans,
         metrics: EdgeMetrics,
         settings: CallerSettings,
         caller_headers: CallerHeaders,
@@ -115,6 +117,7 @@
         seal_header: str,
     ) -> None:
         self._state = state
+        self._loans = loans
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._caller_headers = caller_headers
@@ -247,7 +250,7 @@
             if result is None:
                 return 200
             progress.record(placed, result)
-            if not self._should_retry(call, progress, result):
+            if not await self._should_retry(call, progress, result):
                 break
             if call.exchange.disconnected:
                 self._metrics.count("callers_left")
@@ -265,7 +268,7 @@
         request = PlacementRequest(
             call.service,
             retryable,
-            may_explore=retryable and first and state.can_explore(now_s, call.service),
+            may_explore=retryable and first and self._can_explore(now_s, call.service),
             priority=route.priority,
             remaining_s=call.remaining_s(now_s),
             target_s=route.target_latency_s,
@@ -276,7 +279,13 @@
         )
         return state.placement.choose(now_s, request, state.directory.usable(call.service))
 
-    def _choose_hedge(self, call: EdgeCall, progress: "_Progress", first: Placed) -> Placed | None:
+    def _can_explore(self, now_s: float, service: str) -> bool:
+        """Returns whether there is a retry left in case an explored instance fails a request."""
+        return self._state.can_explore(now_s, service) or self._loans.has_prospect(service)
+
+    async def _choose_hedge(
+        self, call: EdgeCall, progress: "_Progress", first: Placed
+    ) -> Placed | None:
         """Returns an instance with a free slot for a second attempt; acquires its retry budget."""
         state, route = self._state, call.route
         now_s = self._loop.time()
@@ -295,12 +304,14 @@
         if isinstance(placed, Shed) or placed.load > 1:
             call.history[-1]["hedge"] = "no free instance"
             return None
-        if not self._acquire_retry(call, progress.attempts + 1):
+        if not await self._acquire_retry(call, progress.attempts + 1):
             call.history[-1]["hedge"] = "no budget"
             return None
         return placed
 
-    def _should_retry(self, call: EdgeCall, progress: "_Progress", result: "AttemptResult") -> bool:
+    async def _should_retry(
+        self, call: EdgeCall, progress: "_Progress", result: "AttemptResult"
+    ) -> bool:
         """Returns whether to make another attempt; acquires its retry budget.
 
         Failed connects need no retry budget.
@@ -311,18 +322,22 @@
             return False
         if not isinstance(result, NotExecuted) and not call.route.idempotent:
             return False
-        return self._acquire_retry(call, progress.attempts)
+        return await self._acquire_retry(call, progress.attempts)
 
-    def _acquire_retry(self, call: EdgeCall, attempts: int) -> bool:
+    async def _acquire_retry(self, call: EdgeCall, attempts: int) -> bool:
         now_s = self._loop.time()
         if attempts >= call.route.instance_limit or not call.body.can_resend:
             return False
         if call.remaining_s(now_s) < self._state.health_tracker.mean_latency_s(call.service):
             return False
-        allowed = self._state.retry_budget(call.service).try_acquire(now_s)
-        if not allowed:
-            self._metrics.count("retries_over_budget")
-        return allowed
+        budget = self._state.retry_budget(call.service)
+        if budget.try_acquire(now_s):
+            return True
+        if await self._loans.borrow(call.service) and budget.try_acquire(self._loop.time()):
+            self._metrics.count("borrowed_retries")
+            return True
+        self._metrics.count("retries_over_budget")
+        return False
 
     async def _attempt_hedged(
         self, call: EdgeCall, placed: Placed, progress: "_Progress"
@@ -343,8 +358,9 @@
         try:
             await asyncio.wait(running, timeout=delay_s)
             if not any(task.done() for task in running):
-                hedge = self._choose_hedge(call, progress, placed)
-                if hedge is not None:
+                hedge = await self._choose_hedge(call, progress, placed)
+                # The response may have arrived while a retry was borrowed.
+                if hedge is not None and not any(task.done() for task in running):
                     self._metrics.count("hedges")
                     running[asyncio.create_task(self._attempt(call, hedge, delay_s))] = hedge
             while True:
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -12,6 +12,7 @@
 from anviltray.callers import CallerHeaders, bind, protocol_class, serve, serve_internal
 from anviltray.declarations import RoutingConfiguration
 from anviltray.edge._dispatcher import EdgeDispatcher
+from anviltray.edge._loans import RetryLoans
 from anviltray.edge._metrics import EdgeMetrics
 from anviltray.edge._resources import (
     DirectoryResource,
@@ -81,6 +82,7 @@
         self._protocol = protocol_class(build_caller_settings({}))
         self._dispatcher = EdgeDispatcher(
             self.state,
+            RetryLoans(settings.address, self.state, self.exchange, rng),
             self.metrics,
             self._protocol.caller_settings,
             CallerHeaders(
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -150,5 +150,5 @@
         return service in self._idempotent_services
 
     def can_explore(self, now_s: float, service: str) -> bool:
-        """Returns whether the budget allows exploring an instance and a retry if that fails."""
+        """Returns whether this host's budget allows exploring and a retry if that fails."""
         return self.retry_budget(service).remaining(now_s) >= _EXPLORATION_RESERVE
--- a/anviltray/messages/_generated.py
+++ b/anviltray/messages/_generated.py
@@ -846,6 +846,40 @@
     )
 
 
+class RetryLoanRequest(NamedTuple):
+    """Datagram that requests one retry from another host of the zone."""
+
+    host: str  # IP address of the sender.
+    number: int  # Identifies the reply.
+    service: str  # Service of the request that is to be retried.
+
+
+def _decode_retry_loan_request(data: Any) -> RetryLoanRequest:
+    items = check_arity("RetryLoanRequest", data, 3)
+    return RetryLoanRequest(
+        host=decode_str(items[0]),
+        number=decode_int(items[1]),
+        service=decode_str(items[2]),
+    )
+
+
+class RetryLoan(NamedTuple):
+    """Reply to a RetryLoanRequest."""
+
+    host: str  # IP address of the sender.
+    number: int  # Number of the request.
+    retries: int  # Retries that the sender has taken from its own budget, 0 or 1.
+
+
+def _decode_retry_loan(data: Any) -> RetryLoan:
+    items = check_arity("RetryLoan", data, 3)
+    return RetryLoan(
+        host=decode_str(items[0]),
+        number=decode_int(items[1]),
+        retries=decode_int(items[2]),
+    )
+
+
 Message = (
     Hello
     | Proof
@@ -872,6 +906,8 @@
     | HostList
     | StoreSnapshot
     | ZoneBeliefs
+    | RetryLoanRequest
+    | RetryLoan
 )
 
 
@@ -901,6 +937,8 @@
     HostList: 24,
     StoreSnapshot: 25,
     ZoneBeliefs: 26,
+    RetryLoanRequest: 27,
+    RetryLoan: 28,
 }
 
 
@@ -930,6 +968,8 @@
     24: _decode_host_list,
     25: _decode_store_snapshot,
     26: _decode_zone_beliefs,
+    27: _decode_retry_loan_request,
+    28: _decode_retry_loan,
 }
 
 
@@ -959,6 +999,8 @@
     HostList: "zone",
     StoreSnapshot: "zone",
     ZoneBeliefs: "zone",
+    RetryLoanRequest: "zone",
+    RetryLoan: "zone",
 }
 
 
@@ -1032,4 +1074,6 @@
     "HostList",
     "StoreSnapshot",
     "ZoneBeliefs",
+    "RetryLoanRequest",
+    "RetryLoan",
 ]
