--- a/anviltray/edge/_attempt.py
+++ b/anviltray/edge/_attempt.py
@@ -25,6 +25,7 @@
         "_overdue_after_s",
         "_service",
         "_timer",
+        "fresh_connection",
         "on_unacknowledged",
         "placed",
         "started_s",
@@ -47,6 +48,7 @@
         self._acknowledged: Callable[[], bool] = lambda: True
         self._ended = False
         self.placed = placed
+        self.fresh_connection: bool | None = None  # None until a connection was chosen.
         self.written = False  # False only if it is certain that no byte was written.
         # Called if the request is not acknowledged within `ACKNOWLEDGEMENT_TIMEOUT_S`.
         self.on_unacknowledged: Callable[[], None] = lambda: None
@@ -54,7 +56,8 @@
         health_tracker.on_request_started(placed.instance.id)
 
     def on_connection(self, fresh: bool) -> None:
-        """Does nothing: the choice of a connection is no evidence of health."""
+        """Records for the log whether a new connection was opened."""
+        self.fresh_connection = fresh
 
     def on_write_start(self, acknowledged: Callable[[], bool]) -> None:
         """Starts the timers of the attempt; the first byte is about to be written."""
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -405,12 +405,14 @@
             else:
                 entry["result"] = "overtaken"
                 self._record_response_time(call, recorder)
-            entry["ms"] = round((self._loop.time() - recorder.started_s) * 1000)
             recorder.finish(ExchangeOutcome.TIMED_OUT if timed_out else ExchangeOutcome.ABANDONED)
             raise
         except BaseException:
             recorder.finish(ExchangeOutcome.ABANDONED)
             raise
+        finally:
+            entry["new_connection"] = recorder.fresh_connection
+            entry["ms"] = round((self._loop.time() - recorder.started_s) * 1000)
         entry["result"] = (
             result.status
             if isinstance(result, CompleteResponse)
@@ -420,7 +422,6 @@
             self._record_response_time(call, recorder)
         if state.health_tracker.urgent:
             state.urgent.set()
-        entry["ms"] = round((self._loop.time() - recorder.started_s) * 1000)
         return result
 
     def _record_response_time(self, call: EdgeCall, recorder: AttemptRecorder) -> None:
