--- a/anviltray/decisions/placement/_evidence.py
+++ b/anviltray/decisions/placement/_evidence.py
@@ -20,11 +20,6 @@
 # A request that the kernel of the instance has not acknowledged within this time counts as
 # undelivered. On links with packet loss a retransmission follows 200 ms after the first segment.
 ACKNOWLEDGEMENT_TIMEOUT_S = 0.3
-# A request is overdue after this multiple of the mean latency of its service, but not before the
-# minimum.
-_OVERDUE_FACTOR = 4.0
-_OVERDUE_MIN_S = 1.0
-
 # Phases of connection resets last 9 s on average, with 20 s between two of them.
 _RESET_PHASES = PhaseModel(unhealthy_s=9.0, healthy_s=20.0)
 UNHEALTHY_SHARE = _RESET_PHASES.unhealthy_share
@@ -177,10 +172,6 @@
         """Returns the mean latency of the responses of a service."""
         return self._mean_latencies_s.get(service, _INITIAL_LATENCY_S)
 
-    def overdue_after_s(self, service: str) -> float:
-        """Returns the time after which a missing response is evidence against the instance."""
-        return max(_OVERDUE_MIN_S, _OVERDUE_FACTOR * self.mean_latency_s(service))
-
     def on_request_started(self, instance: str) -> None:
         """Records that a request was sent."""
         self.health(instance).outstanding += 1
@@ -197,9 +188,12 @@
         """
         self._add_evidence(now_s, instance, _BROKEN_EVIDENCE, 0.0)
 
-    def on_request_overdue(self, now_s: float, instance: str) -> None:
-        """Records a request that got no response within `overdue_after_s`."""
-        self._add_evidence(now_s, instance, 0.0, _FAILURE_EVIDENCE)
+    def on_late_response(self, now_s: float, instance: str, log_likelihood_ratio: float) -> None:
+        """Records that the response to a request is later than usual.
+
+        The ratio is negative when a late response has arrived after all, see `ResponseTimes`.
+        """
+        self._add_evidence(now_s, instance, 0.0, log_likelihood_ratio)
 
     def on_request_ended(
         self,
--- a/anviltray/decisions/placement/tests/test_evidence.py
+++ b/anviltray/decisions/placement/tests/test_evidence.py
@@ -5,6 +5,7 @@
 from anviltray.decisions import ExchangeOutcome
 from anviltray.decisions.placement import HealthTracker
 from anviltray.decisions.placement._evidence import UNHEALTHY_SHARE
+from anviltray.decisions.retries import ResponseTimes
 from anviltray.messages import InstanceBelief
 
 BROKEN, ERROR, OK = (
@@ -12,19 +13,27 @@
     ExchangeOutcome.SERVER_ERROR,
     ExchangeOutcome.OK,
 )
+VERY_LATE = [(1.0, "late"), (1.1, "very late")]
 
 
 def belief(events, at_s):
     """Returns the unhealthy probability after (time, event) pairs.
 
-    Events are outcomes, "accepted" and "overdue".
+    Events are outcomes, "accepted", "late" and "very late", and "arrived" for a very late response
+    that has come after all.
     """
     tracker = HealthTracker()
+    late, very_late = ResponseTimes().late_stages("level", 1.0, 1.0)
+    late_evidence = {
+        "late": late.log_likelihood_ratio,
+        "very late": very_late.log_likelihood_ratio,
+        "arrived": -late.log_likelihood_ratio - very_late.log_likelihood_ratio,
+    }
     for now_s, event in events:
         if event == "accepted":
             tracker.on_request_accepted(now_s, "i-1")
-        elif event == "overdue":
-            tracker.on_request_overdue(now_s, "i-1")
+        elif event in late_evidence:
+            tracker.on_late_response(now_s, "i-1", late_evidence[event])
         else:
             tracker.on_request_started("i-1")
             tracker.on_request_ended(now_s, "i-1", "keeper", event, 0.4)
@@ -42,10 +51,14 @@
         ([(0.0, BROKEN), *((1.0 + n, "accepted") for n in range(4))], 4.0, 0.0, 0.1),
         # A healthy instance has occasional errors and late responses.
         ([*((0.1 * n, "accepted") for n in range(9)), (1.0, ERROR)], 1.0, 0.0, 0.1),
-        ([*((0.1 * n, "accepted") for n in range(9)), (1.0, "overdue")], 1.0, 0.0, 0.15),
+        ([*((0.1 * n, "accepted") for n in range(9)), (1.0, "late")], 1.0, 0.0, 0.15),
+        ([(0.1 * n, "accepted") for n in range(9)] + VERY_LATE + [(1.2, "arrived")], 1.2, 0.0, 0.1),
         # Several in a row make it unhealthy.
         ([(0.1 * n, ERROR) for n in range(5)], 0.5, 0.95, 1.0),
-        ([(0.1 * n, "overdue") for n in range(3)], 0.3, 0.95, 1.0),
+        ([(0.1 * n, "late") for n in range(3)], 0.3, 0.95, 1.0),
+        # So do two that are late at the same time, or a very late one.
+        ([*((0.1 * n, "accepted") for n in range(9)), (1.0, "late"), (1.1, "late")], 1.1, 0.3, 1.0),
+        ([(0.1 * n, "accepted") for n in range(9)] + VERY_LATE, 1.1, 0.3, 1.0),
         # Without evidence the belief decays to the prior.
         ([(0.0, BROKEN)], 60.0, UNHEALTHY_SHARE - 0.01, UNHEALTHY_SHARE + 0.01),
         ([(0.0, "accepted")], 60.0, UNHEALTHY_SHARE - 0.01, UNHEALTHY_SHARE + 0.01),
--- a/anviltray/decisions/retries/__init__.py
+++ b/anviltray/decisions/retries/__init__.py
@@ -4,6 +4,7 @@
 from anviltray.decisions.retries._hedge import hedge_delay_s
 from anviltray.decisions.retries._pool import LOAN_LIFETIME_S, LoanRequest, RetryPool
 from anviltray.decisions.retries._response_times import (
+    LateStage,
     ResponseTimeModel,
     ResponseTimes,
     hedge_rules,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "LOAN_LIFETIME_S",
+    "LateStage",
     "LoanRequest",
     "ResponseTimeModel",
     "ResponseTimes",
--- a/anviltray/decisions/retries/_response_times.py
+++ b/anviltray/decisions/retries/_response_times.py
@@ -1,8 +1,9 @@
-"""Response times of each route, and when a request without a response gets a second attempt.
+"""Response times of each route, and what follows from a response that is late.
 
 Load pattern: an instance accepts requests and never responds, while its health check passes. Its
-kernel acknowledges the data, so only the missing response shows the fault, and an idempotent
-request that waits for it fails at its deadline although another instance could serve it.
+kernel acknowledges the data, so only the missing response shows the fault. An idempotent request
+that waits for it fails at its deadline although another instance could serve it, and so do all
+requests that are sent there until the zone knows of the fault.
 """
 
 import math
@@ -19,6 +20,11 @@
 _LATE_SHARE = 0.05  # Share of responses that the quantile rule regards as late.
 # Probability that no response will come above which the belief rule starts a second attempt.
 _STALLED_THRESHOLD = 0.2
+# Shares of healthy responses that are later than each stage of lateness. One response of the first
+# stage does not divert traffic from an instance, two at a time or one of the second stage do.
+_LATE_STAGE_SHARES = (0.05, 0.005)
+# Probability that a faulty instance does not respond.
+_STALL_PROBABILITY = 0.65
 # Limits for the share of healthy responses that arrive after the delay. The lower one bounds the
 # delay of routes without a suspicion, the upper one the number of second attempts.
 _MIN_LATE_SHARE = 0.01
@@ -37,6 +43,13 @@
         return math.exp(self.log_median + self.spread * _normal_quantile(1.0 - share))
 
 
+class LateStage(NamedTuple):
+    """Age of a request without a response at which it is evidence against its instance."""
+
+    after_s: float  # Seconds since the request was sent.
+    log_likelihood_ratio: float  # Evidence in addition to that of earlier stages.
+
+
 HedgeRule = Callable[[ResponseTimeModel, float], float]
 hedge_rules: Registry[HedgeRule] = Registry("hedge rule")
 
@@ -100,6 +113,21 @@
         """
         return self._rule(self.model(route, target_s), stalled_probability)
 
+    def late_stages(self, route: str, target_s: float, load: float) -> tuple[LateStage, ...]:
+        """Returns when a request without a response is evidence against its instance.
+
+        `load` is the number of requests per slot of the instance. A request has to wait if there is
+        more than one, which is no evidence.
+        """
+        model = self.model(route, target_s)
+        stages, previous = [], 0.0
+        for share in _LATE_STAGE_SHARES:
+            evidence = math.log(_STALL_PROBABILITY / share)
+            after_s = model.exceeded_after_s(share) * max(1.0, load)
+            stages.append(LateStage(after_s, evidence - previous))
+            previous = evidence
+        return tuple(stages)
+
     def keep_only(self, routes: frozenset[str]) -> None:
         """Drops the models of routes that no longer exist."""
         for route in [route for route in self._models if route not in routes]:
--- a/anviltray/edge/_attempt.py
+++ b/anviltray/edge/_attempt.py
@@ -1,7 +1,7 @@
 """One attempt to run a request on an instance: its health evidence and its result."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from anviltray.decisions import ExchangeOutcome
@@ -11,6 +11,7 @@
     HealthTracker,
     Placed,
 )
+from anviltray.decisions.retries import LateStage
 
 
 class AttemptRecorder:
@@ -21,11 +22,13 @@
         "_acknowledged",
         "_ended",
         "_health_tracker",
+        "_late_evidence",
+        "_late_stages",
         "_loop",
-        "_overdue_after_s",
         "_service",
         "_timer",
         "fresh_connection",
+        "on_evidence",
         "on_unacknowledged",
         "placed",
         "started_s",
@@ -37,10 +40,11 @@
         health_tracker: HealthTracker,
         service: str,
         placed: Placed,
-        overdue_after_s: float | None = None,
+        late_stages: Sequence[LateStage] = (),
     ) -> None:
         self._health_tracker = health_tracker
-        self._overdue_after_s = overdue_after_s  # By default the tracker's limit for the service.
+        self._late_stages = list(late_stages)  # Those that have not been reported, in order.
+        self._late_evidence = 0.0  # Sum of those that have been reported.
         self._service = service
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
@@ -50,6 +54,8 @@
         self.placed = placed
         self.fresh_connection: bool | None = None  # None until a connection was chosen.
         self.written = False  # False only if it is certain that no byte was written.
+        # Called when there is evidence that the other hosts of the zone have not received yet.
+        self.on_evidence: Callable[[], None] = lambda: None
         # Called if the request is not acknowledged within `ACKNOWLEDGEMENT_TIMEOUT_S`.
         self.on_unacknowledged: Callable[[], None] = lambda: None
         self.started_s = self._loop.time()
@@ -78,10 +84,7 @@
     def _check_accepted(self) -> None:
         if self._acknowledged():
             self.report_accepted()
-            limit_s = self._overdue_after_s
-            if limit_s is None:
-                limit_s = self._health_tracker.overdue_after_s(self._service)
-            self._timer = self._loop.call_later(limit_s, self._report_overdue)
+            self._await_late_stage()
             return
         now_s = self._loop.time()
         remaining_s = self.started_s + ACKNOWLEDGEMENT_TIMEOUT_S - now_s
@@ -90,10 +93,20 @@
             self._timer = self._loop.call_later(remaining_s, self._check_accepted)
         else:
             self._health_tracker.on_request_unacknowledged(now_s, self.placed.instance.id)
+            self.on_evidence()
             self.on_unacknowledged()
 
-    def _report_overdue(self) -> None:
-        self._health_tracker.on_request_overdue(self._loop.time(), self.placed.instance.id)
+    def _await_late_stage(self) -> None:
+        if self._late_stages:
+            due_s = self.started_s + self._late_stages[0].after_s
+            self._timer = self._loop.call_at(due_s, self._report_late)
+
+    def _report_late(self) -> None:
+        evidence = self._late_stages.pop(0).log_likelihood_ratio
+        self._late_evidence += evidence
+        self._health_tracker.on_late_response(self._loop.time(), self.placed.instance.id, evidence)
+        self.on_evidence()
+        self._await_late_stage()
 
     def finish(self, outcome: ExchangeOutcome) -> None:
         """Reports the outcome; only the first call has an effect."""
@@ -105,9 +118,15 @@
         if self._timer is not None:
             self._timer.cancel()
         now_s = self._loop.time()
+        if self._late_evidence and outcome is ExchangeOutcome.OK:
+            self._health_tracker.on_late_response(
+                now_s, self.placed.instance.id, -self._late_evidence
+            )
         self._health_tracker.on_request_ended(
             now_s, self.placed.instance.id, self._service, outcome, now_s - self.started_s
         )
+        if self._health_tracker.urgent:
+            self.on_evidence()
 
 
 class CompleteResponse(NamedTuple):
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -39,6 +39,9 @@
 MAX_BUFFERED_BYTES = 262144
 # Failed connects per request; not counted as attempts, since they cost the instances nothing.
 _MAX_CONNECT_FAILURES = 3
+# Interval at which a request without a response looks for a free instance and a retry for a second
+# attempt, if there were none at first.
+_HEDGE_RETRY_INTERVAL_S = 0.2
 _DEFAULT_RETRY_AFTER_S = 0.4  # Retry-After if placement gives no estimate.
 
 _NOT_READY = Problem(
@@ -354,15 +357,18 @@
         delay_s = self._state.response_times.hedge_delay_s(
             route.name, route.target_latency_s, health.error_probability(now_s)
         )
-        running = {asyncio.create_task(self._attempt(call, placed, delay_s)): placed}
+        first = asyncio.create_task(self._attempt(call, placed))
+        running = {first: placed}
         try:
             await asyncio.wait(running, timeout=delay_s)
-            if not any(task.done() for task in running):
+            while not first.done():
                 hedge = await self._choose_hedge(call, progress, placed)
                 # The response may have arrived while a retry was borrowed.
-                if hedge is not None and not any(task.done() for task in running):
+                if hedge is not None and not first.done():
                     self._metrics.count("hedges")
-                    running[asyncio.create_task(self._attempt(call, hedge, delay_s))] = hedge
+                    running[asyncio.create_task(self._attempt(call, hedge))] = hedge
+                    break
+                await asyncio.wait(running, timeout=_HEDGE_RETRY_INTERVAL_S)
             while True:
                 done, _ = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
                 for task in done:
@@ -377,12 +383,12 @@
                 task.cancel()
             await asyncio.gather(*running, return_exceptions=True)
 
-    async def _attempt(
-        self, call: EdgeCall, placed: Placed, overdue_after_s: float | None = None
-    ) -> AttemptResult | None:
+    async def _attempt(self, call: EdgeCall, placed: Placed) -> AttemptResult | None:
         """Sends the request to an instance; returns None if the response was streamed."""
-        state = self._state
-        recorder = AttemptRecorder(state.health_tracker, call.service, placed, overdue_after_s)
+        state, route = self._state, call.route
+        stages = state.response_times.late_stages(route.name, route.target_latency_s, placed.load)
+        recorder = AttemptRecorder(state.health_tracker, call.service, placed, stages)
+        recorder.on_evidence = state.urgent.set
         entry = {
             "instance": placed.instance.id,
             "load": round(placed.load, 2),
@@ -420,15 +426,12 @@
         )
         if _is_success(result):
             self._record_response_time(call, recorder)
-        if state.health_tracker.urgent:
-            state.urgent.set()
         return result
 
     def _record_response_time(self, call: EdgeCall, recorder: AttemptRecorder) -> None:
         route = call.route
-        if route.idempotent:
-            elapsed_s = self._loop.time() - recorder.started_s
-            self._state.response_times.record(route.name, route.target_latency_s, elapsed_s)
+        elapsed_s = self._loop.time() - recorder.started_s
+        self._state.response_times.record(route.name, route.target_latency_s, elapsed_s)
 
     async def _exchange(self, call: EdgeCall, recorder: AttemptRecorder) -> AttemptResult | None:
         client = self._state.upstreams
