--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -33,11 +33,18 @@
 # In services without idempotent requests, other requests explore after this interval. The average
 # unhealthy phase is over by then, and without exploration the instance would stay out of use.
 _NON_RETRYABLE_EXPLORE_INTERVAL_S = 8.0
-# Above this share of unserved requests, exploration happens after a shorter interval and does not
-# depend on the retry budget. Most healthy instances must be in use within two seconds when 10 % of
-# the requests of a service are not served.
-_DEGRADED_UNSERVED_SHARE = 0.1
+# Above this share of unserved requests, exploration happens after a shorter interval, does not
+# depend on the retry budget and includes instances that are just less attractive than others. Most
+# healthy instances must be in use within two seconds when 10 % of the requests of a service are not
+# served; the share is an average over several seconds, so it crosses this threshold first.
+_DEGRADED_UNSERVED_SHARE = 0.07
 _DEGRADED_EXPLORE_INTERVAL_S = 1.2
+# Share of the requests that explore in this case. All hosts see at the same time that an instance
+# is due, and what the first request finds out takes a moment to reach the others.
+_DEGRADED_EXPLORE_SHARE = 0.5
+# Above this probability of errors, an instance is not explored sooner than usual: errors and late
+# responses are rarer than resets, so the belief is mostly right.
+_DEGRADED_MAX_ERROR_PROBABILITY = 0.15
 # A request that would be shed explores an uncertain instance instead after this interval.
 _SHED_EXPLORE_INTERVAL_S = 0.8
 # Maximum share of the remaining time that the expected response time may take, by priority. Under
@@ -105,6 +112,14 @@
         """See `UpstreamClient.can_reuse`."""
 
 
+class _Exploration(NamedTuple):
+    """Which instances a request may explore."""
+
+    interval_s: float = math.inf  # Minimum time since the latest evidence or exploration.
+    min_probability: float = _EXPLORE_MIN_PROBABILITY  # Lowest probability to be unhealthy.
+    max_error_probability: float = 1.0  # Highest probability of errors.
+
+
 class _Candidate(NamedTuple):
     instance: Instance
     health: InstanceHealth
@@ -142,7 +157,7 @@
         ]
         if not candidates:
             return Shed(self._retry_after_s(_MIN_RETRY_AFTER_S), 0.0, 0)
-        explored = self._explore(now_s, candidates, _explore_interval_s(request))
+        explored = self._explore(now_s, candidates, self._exploration(request))
         if explored is not None:
             return _placed(now_s, explored, explores=True)
         best = min(candidates, key=lambda candidate: candidate.cost)
@@ -153,8 +168,9 @@
         )
         expected_s = self._expected_s(request.service, best.load, allowed_s)
         if expected_s > allowed_s:
-            interval_s = _SHED_EXPLORE_INTERVAL_S if _may_force_exploration(request) else math.inf
-            explored = self._explore(now_s, candidates, interval_s)
+            forced = _may_force_exploration(request)
+            exploration = _Exploration(_SHED_EXPLORE_INTERVAL_S) if forced else _Exploration()
+            explored = self._explore(now_s, candidates, exploration)
             if explored is not None:
                 return _placed(now_s, explored, explores=True)
             excess_s = expected_s - allowed_s
@@ -180,10 +196,29 @@
             return 0
         return 1 if self._zone_regions.get(instance.zone) == self._locality.region else 2
 
+    def _exploration(self, request: PlacementRequest) -> _Exploration:
+        """Returns which instances the request may explore in place of the best one."""
+        degraded = request.unserved_share > _DEGRADED_UNSERVED_SHARE
+        if (
+            degraded
+            and _may_force_exploration(request)
+            and self._rng.random() < _DEGRADED_EXPLORE_SHARE
+        ):
+            interval_s = (
+                _SHED_EXPLORE_INTERVAL_S if request.may_explore else _DEGRADED_EXPLORE_INTERVAL_S
+            )
+            return _Exploration(interval_s, 0.0, _DEGRADED_MAX_ERROR_PROBABILITY)
+        if request.may_explore:
+            return _Exploration(_EXPLORE_INTERVAL_S)
+        if request.no_other_explorers:
+            return _Exploration(_NON_RETRYABLE_EXPLORE_INTERVAL_S)
+        return _Exploration()
+
     def _explore(
-        self, now_s: float, candidates: Sequence[_Candidate], interval_s: float
+        self, now_s: float, candidates: Sequence[_Candidate], exploration: _Exploration
     ) -> _Candidate | None:
         """Returns the uncertain local instance with the oldest evidence, or None if none is due."""
+        interval_s = exploration.interval_s
         if interval_s == math.inf:
             return None
         due = [
@@ -192,7 +227,8 @@
             if item.instance.zone == self._locality.zone
             and item.load <= 1
             and now_s - max(item.health.last_explored_s, item.health.last_evidence_s) > interval_s
-            and item.health.unhealthy_probability(now_s) > _EXPLORE_MIN_PROBABILITY
+            and item.health.unhealthy_probability(now_s) > exploration.min_probability
+            and item.health.error_probability(now_s) <= exploration.max_error_probability
         ]
         if not due:
             return None
@@ -224,15 +260,6 @@
     return request.retryable or request.no_other_explorers
 
 
-def _explore_interval_s(request: PlacementRequest) -> float:
-    """Returns the minimum age of the evidence about an instance that the request may explore."""
-    if request.may_explore:
-        return _EXPLORE_INTERVAL_S
-    if request.unserved_share > _DEGRADED_UNSERVED_SHARE and _may_force_exploration(request):
-        return _DEGRADED_EXPLORE_INTERVAL_S
-    return _NON_RETRYABLE_EXPLORE_INTERVAL_S if request.no_other_explorers else math.inf
-
-
 def _placed(now_s: float, candidate: _Candidate, *, explores: bool) -> Placed:
     health = candidate.health
     return Placed(
--- a/anviltray/decisions/placement/tests/replay.py
+++ b/anviltray/decisions/placement/tests/replay.py
@@ -21,6 +21,7 @@
 TARGET_S = 0.8
 BROKEN_SHARE = 0.85
 FAULT_S = 0.002  # Time until a reset or an error.
+OUTCOMES_INTERVAL_S = 0.4  # Interval at which hosts report how their requests ended.
 
 
 class ZoneSimulation:
@@ -29,19 +30,21 @@
     Hosts receive the observations of the other hosts after a delay. Requests are not retried.
     """
 
-    def __init__(self, seed, rate_s, count, lost_share=0.0):
+    def __init__(self, seed, rate_s, count, lost_share=0.0, hosts=HOSTS, slots=SLOTS):
         self.rng = random.Random(seed)
-        self.hosts = [Host(seed * 100 + number) for number in range(HOSTS)]
+        self.hosts = [Host(seed * 100 + number) for number in range(hosts)]
         self.unserved = [UnservedShare() for _ in self.hosts]
-        self.instances = [instance(number, slots=SLOTS) for number in range(count)]
+        self.instances = [instance(number, slots=slots) for number in range(count)]
         self.phases = {item.id: _phases(self.rng) for item in self.instances}
-        self.free_s = {item.id: [0.0] * SLOTS for item in self.instances}
+        self.free_s = {item.id: [0.0] * slots for item in self.instances}
         self.lost_share = lost_share
         self.arrivals, self.sends, self.events, self.order = [], [], [], 0
         now_s = 0.0
         while now_s < DURATION_S:
             now_s += self.rng.expovariate(rate_s)
             self.push(now_s, self.arrive)
+        for number in range(hosts):
+            self.push(OUTCOMES_INTERVAL_S * number / hosts, self.report_outcomes, number)
         while self.events:
             now_s, _, function, arguments = heapq.heappop(self.events)
             function(now_s, *arguments)
@@ -51,7 +54,7 @@
         heapq.heappush(self.events, (now_s, self.order, function, arguments))
 
     def arrive(self, now_s):
-        number = self.rng.randrange(HOSTS)
+        number = self.rng.randrange(len(self.hosts))
         host, unserved = self.hosts[number], self.unserved[number]
         placement_request = request(target_s=TARGET_S, priority=1)._replace(
             no_other_explorers=True, unserved_share=unserved.share(now_s, "s")
@@ -107,6 +110,18 @@
             if number != sender:
                 host.tracker.on_peer_observations(now_s, str(sender), observations)
 
+    def report_outcomes(self, now_s, number):
+        outcomes = self.unserved[number].pop_outcomes()
+        if outcomes:
+            self.push(now_s + REPORT_DELAY_S, self.receive_outcomes, number, outcomes)
+        if now_s < DURATION_S:
+            self.push(now_s + OUTCOMES_INTERVAL_S, self.report_outcomes, number)
+
+    def receive_outcomes(self, now_s, sender, outcomes):
+        for number, unserved in enumerate(self.unserved):
+            if number != sender:
+                unserved.on_peer_outcomes(now_s, outcomes)
+
     def served_share(self):
         return sum(served for _, served in self.arrivals) / len(self.arrivals)
 
--- a/anviltray/decisions/placement/tests/test_floor.py
+++ b/anviltray/decisions/placement/tests/test_floor.py
@@ -1,7 +1,8 @@
 """Guards against healthy instances that get no requests while requests of the service are shed.
 
 Simulates an overloaded zone whose instances have unhealthy phases and whose requests are not
-retryable.
+retryable. In a large zone each host serves few requests of the service, and at the start of the
+traffic nothing is known about the instances.
 """
 
 import pytest
@@ -19,7 +20,7 @@
 def windows_below_floor(simulation):
     """Returns the starts of the windows in which too few healthy instances get requests."""
     starts_s = []
-    for step in range(10, int(DURATION_S - WINDOW_S) * 10):
+    for step in range(int(DURATION_S - WINDOW_S) * 10):
         start_s = step / 10
         served_in_window = [
             served for at_s, served in simulation.arrivals if 0 <= at_s - start_s < WINDOW_S
@@ -44,12 +45,16 @@
 
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.parametrize(
-    ("rate_s", "count", "lost_share"),
+    ("rate_s", "count", "lost_share", "hosts", "slots"),
     [
-        (150.0, 8, 0.0),  # Above the capacity of the healthy instances.
-        (220.0, 8, 0.0),  # A burst.
-        (40.0, 8, 0.15),  # Healthy instances lose some responses.
+        (150.0, 8, 0.0, 12, 6),  # Above the capacity of the healthy instances.
+        (220.0, 8, 0.0, 12, 6),  # A burst.
+        (40.0, 8, 0.15, 12, 6),  # Healthy instances lose some responses.
+        (40.0, 8, 0.15, 24, 6),
+        (37.0, 9, 0.1, 24, 3),
+        (37.0, 9, 0.1, 48, 3),
     ],
 )
-def test_healthy_instances_keep_getting_requests(seed, rate_s, count, lost_share):
-    assert windows_below_floor(ZoneSimulation(seed, rate_s, count, lost_share)) == []
+def test_healthy_instances_keep_getting_requests(seed, rate_s, count, lost_share, hosts, slots):
+    simulation = ZoneSimulation(seed, rate_s, count, lost_share, hosts, slots)
+    assert windows_below_floor(simulation) == []
--- a/anviltray/decisions/placement/tests/test_unserved.py
+++ b/anviltray/decisions/placement/tests/test_unserved.py
@@ -3,6 +3,7 @@
 import pytest
 
 from anviltray.decisions.placement import UnservedShare
+from anviltray.messages import ServiceOutcomes
 
 
 @pytest.mark.parametrize(
@@ -23,3 +24,32 @@
         unserved.on_request_ended(at_s, "keeper", served)
     assert low <= unserved.share(now_s, "keeper") <= high
     assert unserved.share(now_s, "supply") == 0.0
+
+
+def test_hosts_add_up_their_requests():
+    hosts = [UnservedShare() for _ in range(10)]
+    for host in hosts:
+        host.on_request_ended(0.0, "keeper", served=True)
+        host.on_request_ended(0.0, "keeper", served=False)
+    reports = [host.pop_outcomes() for host in hosts]
+    for number, host in enumerate(hosts):
+        for sender, report in enumerate(reports):
+            if sender != number:
+                host.on_peer_outcomes(0.0, report)
+        assert host.share(0.0, "keeper") == pytest.approx(10 / 28)
+        assert host.pop_outcomes() == ()  # Requests are reported once, and only by their own host.
+
+
+@pytest.mark.parametrize(("requests", "unserved"), [(-1, 0), (1, 2), (3, -1)])
+def test_contradictory_reports_are_ignored(requests, unserved):
+    host = UnservedShare()
+    host.on_request_ended(0.0, "keeper", served=False)
+    host.on_peer_outcomes(0.0, [ServiceOutcomes("keeper", requests, unserved)])
+    assert host.share(0.0, "keeper") == pytest.approx(1 / 9)
+
+
+def test_counts_of_removed_services_are_dropped():
+    host = UnservedShare()
+    host.on_peer_outcomes(0.0, [ServiceOutcomes("keeper", 8, 8)])
+    host.keep_only(["supply"])
+    assert host.share(0.0, "keeper") == 0.0
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -22,7 +22,13 @@
     create_application,
 )
 from anviltray.edge._state import EdgeState
-from anviltray.messages import HostBeacon, HostLocality, ZoneBeliefs, ZoneObservations
+from anviltray.messages import (
+    HostBeacon,
+    HostLocality,
+    ZoneBeliefs,
+    ZoneObservations,
+    ZoneOutcomes,
+)
 from anviltray.platform import KeyedStore, names
 from anviltray.settings import HostSettings, build_caller_settings, build_upstream_settings
 from anviltray.telemetry import log_failure
@@ -36,6 +42,8 @@
 _MAX_DIRECTORY_ADDRESSES = 64  # Callers ignore further addresses in one response.
 # Observations of instances are batched this long; failures are sent to the zone at once.
 _OBSERVATION_INTERVAL_S = 0.2
+# The unserved share of a service decays within seconds, so outcomes need not be sent sooner.
+_OUTCOMES_INTERVAL_S = 0.4
 # One host of each zone sends the zone's beliefs about its instances to the other zones of the
 # region. Traffic between zones is billed, so only two hosts per zone receive them; the second one
 # is there in case the first one has failed.
@@ -104,6 +112,7 @@
         self.metrics.attach_counters("zone", lambda: self.exchange.counters)
         self.metrics.attach_counters("store", lambda: self.follower.counters)
         self.exchange.register_handler(ZoneObservations, self._handle_observations)
+        self.exchange.register_handler(ZoneOutcomes, self._handle_outcomes)
         self.exchange.register_handler(ZoneBeliefs, self._handle_beliefs)
         self.exchange.subscribe_to_lost_hosts(self.state.health_tracker.remove_peer)
         self.follower.subscribe_to_configurations(self._apply_configuration)
@@ -151,6 +160,7 @@
             self.exchange.run(),
             self.follower.run(),
             self._send_observations(),
+            self._send_outcomes(),
             self._send_beliefs(),
             self._refresh_fleet_size(),
         ):
@@ -281,6 +291,10 @@
         now_s = asyncio.get_running_loop().time()
         self.state.health_tracker.on_peer_observations(now_s, message.host, message.observations)
 
+    def _handle_outcomes(self, message: ZoneOutcomes) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.state.unserved.on_peer_outcomes(now_s, message.services)
+
     def _handle_beliefs(self, message: ZoneBeliefs) -> None:
         now_s = asyncio.get_running_loop().time()
         self.state.health_tracker.on_zone_beliefs(now_s, message.zone, message.beliefs)
@@ -321,6 +335,13 @@
                     for host in self._rng.sample(hosts, count):
                         self.exchange.send(host, message)
 
+    async def _send_outcomes(self) -> None:
+        while True:
+            await asyncio.sleep(_OUTCOMES_INTERVAL_S)
+            services = self.state.unserved.pop_outcomes()
+            if services:
+                self.exchange.send_to_zone(ZoneOutcomes(self.settings.address, services))
+
     async def _send_observations(self) -> None:
         health_tracker = self.state.health_tracker
         loop = asyncio.get_running_loop()
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -81,6 +81,7 @@
                 choice = WeightedChoice(route.destinations, self._rng.random())
             self._service_choices[route.name] = choice
         self.response_times.keep_only(frozenset(self._service_choices))
+        self.unserved.keep_only(configuration.services)
 
     def _divide_connections(self) -> None:
         """Divides the connections that an instance accepts among the hosts.
--- a/anviltray/messages/_generated.py
+++ b/anviltray/messages/_generated.py
@@ -185,6 +185,23 @@
     )
 
 
+class ServiceOutcomes(NamedTuple):
+    """Requests of one service that ended at one host since its last report."""
+
+    service: str  # Service name.
+    requests: int  # Requests that ended.
+    unserved: int  # Those among them that were shed or failed.
+
+
+def _decode_service_outcomes(data: Any) -> ServiceOutcomes:
+    items = check_arity("ServiceOutcomes", data, 3)
+    return ServiceOutcomes(
+        service=decode_str(items[0]),
+        requests=decode_int(items[1]),
+        unserved=decode_int(items[2]),
+    )
+
+
 class ServiceCounters(NamedTuple):
     """Requests of one service at one node since its process started."""
 
@@ -880,6 +897,21 @@
     )
 
 
+class ZoneOutcomes(NamedTuple):
+    """Datagram with the requests that ended at one host, for the unserved share of the zone."""
+
+    host: str  # IP address of the sender.
+    services: tuple[ServiceOutcomes, ...]  # Services of which requests have ended.
+
+
+def _decode_zone_outcomes(data: Any) -> ZoneOutcomes:
+    items = check_arity("ZoneOutcomes", data, 2)
+    return ZoneOutcomes(
+        host=decode_str(items[0]),
+        services=decode_list(items[1], _decode_service_outcomes),
+    )
+
+
 Message = (
     Hello
     | Proof
@@ -908,6 +940,7 @@
     | ZoneBeliefs
     | RetryLoanRequest
     | RetryLoan
+    | ZoneOutcomes
 )
 
 
@@ -939,6 +972,7 @@
     ZoneBeliefs: 26,
     RetryLoanRequest: 27,
     RetryLoan: 28,
+    ZoneOutcomes: 29,
 }
 
 
@@ -970,6 +1004,7 @@
     26: _decode_zone_beliefs,
     27: _decode_retry_loan_request,
     28: _decode_retry_loan,
+    29: _decode_zone_outcomes,
 }
 
 
@@ -1001,6 +1036,7 @@
     ZoneBeliefs: "zone",
     RetryLoanRequest: "zone",
     RetryLoan: "zone",
+    ZoneOutcomes: "zone",
 }
 
 
@@ -1039,6 +1075,7 @@
     "HostLocality",
     "InstanceObservation",
     "InstanceBelief",
+    "ServiceOutcomes",
     "ServiceCounters",
     "UpstreamRecord",
     "RouteRecord",
@@ -1076,4 +1113,5 @@
     "ZoneBeliefs",
     "RetryLoanRequest",
     "RetryLoan",
+    "ZoneOutcomes",
 ]
