--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -29,7 +29,7 @@
 # Idempotent requests explore instances that are unhealthy with more than this probability and of
 # which there was no evidence and no exploration within the interval.
 _EXPLORE_MIN_PROBABILITY = 0.15
-_EXPLORE_INTERVAL_S = 0.8
+_EXPLORE_INTERVAL_S = 1.6
 # In services without idempotent requests, other requests explore after this interval. The average
 # unhealthy phase is over by then, and without exploration the instance would stay out of use.
 _NON_RETRYABLE_EXPLORE_INTERVAL_S = 8.0
