--- a/anviltray/edge/_call.py
+++ b/anviltray/edge/_call.py
@@ -5,12 +5,14 @@
 
 from anviltray.callers import CallerExchange, RequestBody, RequestHead
 from anviltray.declarations import PrefixRoute
+from anviltray.edge._clock import ElapsedClock
 
 
 class EdgeCall:
     """One request in progress, with its deadline, cancellation and attempt history."""
 
     __slots__ = (
+        "_clock",
         "_task",
         "body",
         "cancellable",
@@ -31,25 +33,30 @@
         body: RequestBody,
         route: PrefixRoute,
         service: str,
-        now_s: float,
+        clock: ElapsedClock,
     ) -> None:
         self.exchange = exchange
         self.head = head
         self.body = body
         self.route = route
         self.service = service
-        self.received_s = now_s
+        self._clock = clock
+        self.received_s = clock.now_s()
         # The earlier of the caller's deadline and the route timeout set by the operator.
-        self.expires_s = now_s + min(head.deadline_s, route.timeout_s)
+        self.expires_s = self.received_s + min(head.deadline_s, route.timeout_s)
         self.history: list[dict[str, Any]] = []  # Attempts and placement inputs, for the log.
         self.timed_out = False
         # False while a non-idempotent request may be running; it then continues without its caller.
         self.cancellable = True
         self._task = asyncio.current_task()
 
-    def remaining_s(self, now_s: float) -> float:
-        """Returns the time until the request expires, in seconds."""
-        return self.expires_s - now_s
+    def elapsed_s(self) -> float:
+        """Returns the time since the request was received, in seconds."""
+        return self._clock.now_s() - self.received_s
+
+    def remaining_s(self) -> float:
+        """Returns the time until the request expires, in seconds; negative afterwards."""
+        return self.expires_s - self._clock.now_s()
 
     def expire(self) -> None:
         """Cancels the request because its deadline has passed."""
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -166,9 +166,9 @@
             return
         body = RequestBody(exchange, head.content_length, self._body_limit)
         service = state.choose_service(route)
-        call = EdgeCall(exchange, head, body, route, service, self._loop.time())
+        call = EdgeCall(exchange, head, body, route, service, state.clock)
         exchange.on_disconnect = call.on_disconnect
-        timer = self._loop.call_at(call.expires_s, call.expire)
+        timer = self._loop.call_later(call.remaining_s(), call.expire)
         status = 0
         try:
             status = await self._forward(call)
@@ -205,7 +205,7 @@
 
     def _record_request(self, call: EdgeCall, status: int) -> None:
         now_s = self._loop.time()
-        latency_s = now_s - call.received_s
+        latency_s = call.elapsed_s()
         self._metrics.record_response(call.service, status, latency_s)
         if status:
             self._state.unserved.on_request_ended(now_s, call.service, status < _MIN_FAILURE_STATUS)
@@ -240,9 +240,10 @@
         """
         if not call.body.ended:
             await call.body.buffer_if_short()
-        self._state.retry_budget(call.service).record_request(self._loop.time())
+        self._state.retry_budget(call.service).record_request(self._state.clock.now_s())
         progress = _Progress()
-        while True:
+        # Timers are late after a suspension of the host, so each attempt checks the time.
+        while call.remaining_s() > 0:
             placed = self._choose_instance(call, progress)
             if isinstance(placed, Shed):
                 call.history.append({"shed": placed._asdict()})
@@ -271,9 +272,9 @@
         request = PlacementRequest(
             call.service,
             retryable,
-            may_explore=retryable and first and self._can_explore(now_s, call.service),
+            may_explore=retryable and first and self._can_explore(call.service),
             priority=route.priority,
-            remaining_s=call.remaining_s(now_s),
+            remaining_s=call.remaining_s(),
             target_s=route.target_latency_s,
             exclude=progress.tried_instances,
             no_other_explorers=first and not state.has_idempotent_routes(call.service),
@@ -282,9 +283,9 @@
         )
         return state.placement.choose(now_s, request, state.directory.usable(call.service))
 
-    def _can_explore(self, now_s: float, service: str) -> bool:
+    def _can_explore(self, service: str) -> bool:
         """Returns whether there is a retry left in case an explored instance fails a request."""
-        return self._state.can_explore(now_s, service) or self._loans.has_prospect(service)
+        return self._state.can_explore(service) or self._loans.has_prospect(service)
 
     async def _choose_hedge(
         self, call: EdgeCall, progress: "_Progress", first: Placed
@@ -299,7 +300,7 @@
             retryable=False,
             may_explore=False,
             priority=route.priority,
-            remaining_s=call.remaining_s(now_s),
+            remaining_s=call.remaining_s(),
             target_s=route.target_latency_s,
             exclude=progress.tried_instances | {first.instance.id},
         )
@@ -328,15 +329,14 @@
         return await self._acquire_retry(call, progress.attempts)
 
     async def _acquire_retry(self, call: EdgeCall, attempts: int) -> bool:
-        now_s = self._loop.time()
         if attempts >= call.route.instance_limit or not call.body.can_resend:
             return False
-        if call.remaining_s(now_s) < self._state.health_tracker.mean_latency_s(call.service):
+        if call.remaining_s() < self._state.health_tracker.mean_latency_s(call.service):
             return False
-        budget = self._state.retry_budget(call.service)
-        if budget.try_acquire(now_s):
+        budget, clock = self._state.retry_budget(call.service), self._state.clock
+        if budget.try_acquire(clock.now_s()):
             return True
-        if await self._loans.borrow(call.service) and budget.try_acquire(self._loop.time()):
+        if await self._loans.borrow(call.service) and budget.try_acquire(clock.now_s()):
             self._metrics.count("borrowed_retries")
             return True
         self._metrics.count("retries_over_budget")
@@ -470,7 +470,7 @@
 
     def _request(self, call: EdgeCall, placed: Placed) -> UpstreamRequest:
         head, body = call.head, call.body
-        remaining_s = call.remaining_s(self._loop.time())
+        remaining_s = call.remaining_s()
         headers = head.headers + self._state.upstreams.dialect.request_headers(
             remaining_s, head.request_id
         )
--- a/anviltray/edge/_loans.py
+++ b/anviltray/edge/_loans.py
@@ -24,6 +24,7 @@
         self._state = state
         self._exchange = exchange
         self._loop = asyncio.get_running_loop()
+        self._clock = state.clock
         self._pool = RetryPool(state.retry_budget, rng)
         self._replies: dict[int, asyncio.Future[bool]] = {}
         exchange.register_handler(RetryLoanRequest, self._handle_request)
@@ -31,7 +32,7 @@
 
     def has_prospect(self, service: str) -> bool:
         """Returns whether another host may have a retry to lend."""
-        return self._pool.has_prospect(self._loop.time(), service)
+        return self._pool.has_prospect(self._clock.now_s(), service)
 
     async def borrow(self, service: str) -> bool:
         """Asks other hosts one after the other for a retry; returns whether one has lent it."""
@@ -39,9 +40,9 @@
             return False
         peers = [host.beacon.host for host in self._exchange.alive()]
         for lender in self._pool.choose_lenders(peers):
-            if await self._ask(self._pool.request(self._loop.time(), service, lender)):
+            if await self._ask(self._pool.request(self._clock.now_s(), service, lender)):
                 return True
-        self._pool.on_exhausted(self._loop.time(), service)
+        self._pool.on_exhausted(self._clock.now_s(), service)
         return False
 
     async def _ask(self, request: LoanRequest) -> bool:
@@ -62,12 +63,12 @@
         configuration = self._state.configuration
         if configuration is None or message.service not in configuration.services:
             return
-        retries = self._pool.lend(self._loop.time(), message.service)
+        retries = self._pool.lend(self._clock.now_s(), message.service)
         self._exchange.send(message.host, RetryLoan(self._host, message.number, retries))
 
     def _handle_loan(self, message: RetryLoan) -> None:
         received = self._pool.receive(
-            self._loop.time(), message.number, message.host, message.retries
+            self._clock.now_s(), message.number, message.host, message.retries
         )
         reply = self._replies.get(message.number)
         if reply is not None and not reply.done():
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -13,6 +13,7 @@
 )
 from anviltray.decisions.retries import ResponseTimes, RetryBudget
 from anviltray.declarations import PrefixIndex, PrefixRoute, RoutingConfiguration
+from anviltray.edge._clock import ElapsedClock
 from anviltray.settings import HostSettings
 from anviltray.upstreams import UpstreamClient
 
@@ -52,6 +53,7 @@
         self.unserved = UnservedShare()
         self.configuration: RoutingConfiguration | None = None
         self.shutting_down = False
+        self.clock = ElapsedClock()
         self.urgent = asyncio.Event()  # Failure evidence must be sent to the zone at once.
         self._routes = PrefixIndex()
         self._rng = rng
@@ -150,6 +152,6 @@
         """Returns whether idempotent requests are routed to a service."""
         return service in self._idempotent_services
 
-    def can_explore(self, now_s: float, service: str) -> bool:
+    def can_explore(self, service: str) -> bool:
         """Returns whether this host's budget allows exploring and a retry if that fails."""
-        return self.retry_budget(service).remaining(now_s) >= _EXPLORATION_RESERVE
+        return self.retry_budget(service).remaining(self.clock.now_s()) >= _EXPLORATION_RESERVE
