--- a/anviltray/edge/tests/support.py
+++ b/anviltray/edge/tests/support.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import secrets
 import socket
 import struct
 
@@ -17,7 +18,7 @@
 zone = "{zone}"
 region = "viti"
 internalPorts = [{port}, {port}]
-seeds = ["127.0.4.1:1"]
+seeds = ["{seed}:1"]
 heartbeatMs = 1500
 bootstrap = true
 bounds = ["drainMs=2000","graceS=3","configApplyMs=2000","retryBudgetRatio=0.2",
@@ -122,6 +123,8 @@
         self.directory, self.handlers, self.count = directory, handlers, hosts
         self.store = StoreStandin()
         self.hosts = []
+        # Ports are the same on all hosts, so test runs at the same time need other addresses.
+        self.network = f"127.{secrets.randbelow(250) + 2}.{secrets.randbelow(250)}"
 
     async def __aenter__(self):
         await self.store.start()
@@ -144,12 +147,16 @@
             await instance.__aexit__()
         await self.store.close()
 
+    def address(self, number):
+        return f"{self.network}.{number}"
+
     def settings(self, number, zone="viti-suva"):
         path = self.directory / f"{number}.toml"
         path.write_text(
             SETTINGS.format(
                 number=number,
-                ip=f"127.0.4.{number}",
+                ip=self.address(number),
+                seed=self.address(1),
                 zone=zone,
                 port=17700,
                 store=self.store.address,
--- a/anviltray/edge/tests/test_daemon.py
+++ b/anviltray/edge/tests/test_daemon.py
@@ -40,7 +40,12 @@
         async with Fleet(tmp_path, [respond()]) as fleet:
             path = tmp_path / "process.toml"
             text = SETTINGS.format(
-                number=9, ip="127.0.4.9", zone="viti-suva", port=17700, store=fleet.store.address
+                number=9,
+                ip=fleet.address(9),
+                seed=fleet.address(1),
+                zone="viti-suva",
+                port=17700,
+                store=fleet.store.address,
             )
             path.write_text(text)
             process = await start(path)
--- a/anviltray/edge/tests/test_requests.py
+++ b/anviltray/edge/tests/test_requests.py
@@ -341,8 +341,8 @@
             "/v1/resolve?name=x&region=viti&zone=viti-suva", 0, "directory_address"
         )
         assert page.status == 200
-        assert b"127.0.4.1:18144" in page.body
-        assert b"127.0.4.2:18144" in page.body
+        assert f"{fleet.address(1)}:18144".encode() in page.body
+        assert f"{fleet.address(2)}:18144".encode() in page.body
         assert (await fleet.page("/v1/ready")).status == 200
         stopping = asyncio.create_task(fleet.hosts[0].stop())
         await fleet.until(lambda: len(fleet.hosts[1].entry_addresses()) == 1, 0.5)
