--- a/anviltray/decisions/placement/_evidence.py
+++ b/anviltray/decisions/placement/_evidence.py
@@ -9,10 +9,11 @@
 
 import math
 from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 from anviltray.decisions._types import ExchangeOutcome
 from anviltray.decisions.placement._belief import PhaseBelief, PhaseModel
-from anviltray.messages import InstanceBelief, InstanceObservation
+from anviltray.messages import InstanceBelief, InstanceLoad, InstanceObservation
 
 # A request that is still in flight after this time was accepted: an unhealthy instance resets the
 # connection within milliseconds.
@@ -54,6 +55,9 @@
 _REFUSAL_HALF_LIFE_S = 0.5
 # Evidence from the local zone takes precedence over beliefs of other zones for this long.
 _LOCAL_EVIDENCE_PRECEDENCE_S = 2.0
+# Requests in flight that another zone has reported are forgotten this long after its latest report;
+# it sends reports twice a second, and none when there is nothing to report.
+_ZONE_REPORT_LIFETIME_S = 1.2
 
 _LATENCY_WEIGHT = 0.1  # Weight of one sample in the moving average of a service's latency.
 _INITIAL_LATENCY_S = 0.4  # Assumed before the first response.
@@ -65,6 +69,7 @@
     __slots__ = (
         "_error_belief",
         "_outstanding_by_peer",
+        "_outstanding_by_zone",
         "_refusal_load",
         "_refused_s",
         "_reset_belief",
@@ -75,6 +80,7 @@
         "unreported_error_evidence",
         "unreported_refusals",
         "unreported_reset_evidence",
+        "zone_outstanding",
     )
 
     def __init__(self) -> None:
@@ -90,13 +96,20 @@
         self._refused_s = 0.0
         self._reset_belief = PhaseBelief(_RESET_PHASES)
         self._error_belief = PhaseBelief(_ERROR_PHASES)
+        self.zone_outstanding = 0  # Requests in flight from other zones that have reported them.
         self._outstanding_by_peer: dict[str, int] = {}
+        self._outstanding_by_zone: dict[str, int] = {}
 
     @property
-    def total_outstanding(self) -> int:
-        """Requests in flight from all hosts of the zone."""
+    def local_outstanding(self) -> int:
+        """Requests in flight from all hosts of the local zone."""
         return self.outstanding + self.peer_outstanding
 
+    @property
+    def total_outstanding(self) -> int:
+        """Requests in flight from all hosts of the zone and from other zones."""
+        return self.local_outstanding + self.zone_outstanding
+
     @property
     def last_evidence_s(self) -> float:
         """Time of the latest evidence."""
@@ -151,6 +164,23 @@
             self._outstanding_by_peer.pop(host, None)
         self.peer_outstanding = sum(self._outstanding_by_peer.values())
 
+    def set_zone(self, zone: str, outstanding: int) -> None:
+        """Sets the requests in flight from another zone."""
+        if outstanding > 0:
+            self._outstanding_by_zone[zone] = outstanding
+        else:
+            self._outstanding_by_zone.pop(zone, None)
+        self.zone_outstanding = sum(self._outstanding_by_zone.values())
+
+    def outstanding_without(self, zone: str) -> int:
+        """Returns the requests in flight except those that `zone` has reported itself."""
+        return self.total_outstanding - self._outstanding_by_zone.get(zone, 0)
+
+
+class _ZoneReport(NamedTuple):
+    received_s: float  # Time of the report.
+    instances: frozenset[str]  # Instances with requests in flight.
+
 
 class HealthTracker:
     """Tracks the health of all instances from requests of this host and reports of its peers."""
@@ -159,6 +189,9 @@
         self._instances: dict[str, InstanceHealth] = {}
         self._changed: set[str] = set()
         self._mean_latencies_s: dict[str, float] = {}
+        # Latest reports of other zones about their own instances and about those of this zone.
+        self._belief_reports: dict[str, _ZoneReport] = {}
+        self._load_reports: dict[str, _ZoneReport] = {}
         self.urgent = False  # Whether there is unreported evidence against an instance.
 
     def health(self, instance: str) -> InstanceHealth:
@@ -266,8 +299,13 @@
             if observation.refusals > 0:
                 health.on_refusals(now_s, observation.refusals)
 
-    def beliefs(self, now_s: float, instances: Iterable[str]) -> tuple[InstanceBelief, ...]:
-        """Returns the beliefs about those `instances` of which this zone has recent evidence."""
+    def beliefs(
+        self, now_s: float, instances: Iterable[str], receiver: str
+    ) -> tuple[InstanceBelief, ...]:
+        """Returns the beliefs about those `instances` of which this zone has recent evidence.
+
+        They are meant for the zone `receiver`, which knows its own requests in flight.
+        """
         beliefs = []
         for instance in instances:
             health = self.health(instance)
@@ -277,17 +315,61 @@
                         instance,
                         round(health.reset_probability(now_s), 3),
                         round(health.error_probability(now_s), 3),
-                        health.total_outstanding,
+                        health.outstanding_without(receiver),
                     )
                 )
         return tuple(beliefs)
 
+    def loads(self, instances: Iterable[str]) -> tuple[InstanceLoad, ...]:
+        """Returns what this zone has in flight at those `instances`, if anything."""
+        found = ((key, self._instances.get(key)) for key in instances)
+        return tuple(
+            InstanceLoad(key, health.local_outstanding)
+            for key, health in found
+            if health is not None and health.local_outstanding > 0
+        )
+
+    def on_zone_loads(self, now_s: float, zone: str, loads: Iterable[InstanceLoad]) -> None:
+        """Replaces what another zone has in flight at the instances of this zone."""
+        outstanding = {load.instance: load.outstanding for load in loads}
+        self._set_zone(self._load_reports, now_s, zone, outstanding)
+
+    def instances_used_by(self, zone: str) -> frozenset[str]:
+        """Returns the instances of this zone at which another zone has requests in flight."""
+        report = self._load_reports.get(zone)
+        return frozenset() if report is None else report.instances
+
+    def expire_zone_reports(self, now_s: float) -> None:
+        """Drops what zones have reported that do not report any more."""
+        for reports in (self._belief_reports, self._load_reports):
+            for zone, report in tuple(reports.items()):
+                if now_s - report.received_s > _ZONE_REPORT_LIFETIME_S:
+                    self._set_zone(reports, now_s, zone, {})
+                    del reports[zone]
+
+    def _set_zone(
+        self,
+        reports: dict[str, _ZoneReport],
+        now_s: float,
+        zone: str,
+        outstanding: Mapping[str, int],
+    ) -> None:
+        previous = reports.get(zone)
+        if previous is not None:
+            for instance in previous.instances - outstanding.keys():
+                if instance in self._instances:
+                    self._instances[instance].set_zone(zone, 0)
+        for instance, count in outstanding.items():
+            self.health(instance).set_zone(zone, count)
+        reports[zone] = _ZoneReport(now_s, frozenset(outstanding))
+
     def on_zone_beliefs(self, now_s: float, zone: str, beliefs: Iterable[InstanceBelief]) -> None:
         """Merges the beliefs of another zone about its own instances."""
+        outstanding = {}
         for belief in beliefs:
-            health = self.health(belief.instance)
-            health.on_zone_belief(now_s, belief)
-            health.set_peer(zone, belief.outstanding)
+            self.health(belief.instance).on_zone_belief(now_s, belief)
+            outstanding[belief.instance] = belief.outstanding
+        self._set_zone(self._belief_reports, now_s, zone, outstanding)
 
     def remove_peer(self, host: str) -> None:
         """Drops the requests in flight from a host that has stopped or is unreachable."""
--- a/anviltray/decisions/placement/tests/test_evidence.py
+++ b/anviltray/decisions/placement/tests/test_evidence.py
@@ -116,7 +116,9 @@
     tracker = HealthTracker()
     tracker.on_zone_beliefs(1.0, "lautoka", [InstanceBelief("i-1", 0.5, 0.01, 3)])
     tracker.on_request_accepted(1.0, "i-2")
-    assert [belief.instance for belief in tracker.beliefs(1.5, ["i-1", "i-2", "i-3"])] == ["i-2"]
+    assert [
+        belief.instance for belief in tracker.beliefs(1.5, ["i-1", "i-2", "i-3"], "labasa")
+    ] == ["i-2"]
 
 
 def test_a_refusal_adds_load_that_decays():
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -5,6 +5,8 @@
 import random
 import secrets
 import socket
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
 import logbook
@@ -26,6 +28,7 @@
     HostBeacon,
     HostLocality,
     ZoneBeliefs,
+    ZoneLoads,
     ZoneObservations,
     ZoneOutcomes,
 )
@@ -45,8 +48,9 @@
 # The unserved share of a service decays within seconds, so outcomes need not be sent sooner.
 _OUTCOMES_INTERVAL_S = 0.4
 # One host of each zone sends the zone's beliefs about its instances to the other zones of the
-# region. Traffic between zones is billed, so only two hosts per zone receive them; the second one
-# is there in case the first one has failed.
+# region, and what the zone has in flight at their instances to all zones. Traffic between zones is
+# billed, so only two hosts per zone receive them; the second one is there in case the first one has
+# failed.
 _BELIEF_INTERVAL_S = 0.5
 _BELIEF_RECEIVERS = 2
 # The fleet size, by which shared limits are divided, changes when hosts start or are added.
@@ -114,6 +118,7 @@
         self.exchange.register_handler(ZoneObservations, self._handle_observations)
         self.exchange.register_handler(ZoneOutcomes, self._handle_outcomes)
         self.exchange.register_handler(ZoneBeliefs, self._handle_beliefs)
+        self.exchange.register_handler(ZoneLoads, self._handle_loads)
         self.exchange.subscribe_to_lost_hosts(self.state.health_tracker.remove_peer)
         self.follower.subscribe_to_configurations(self._apply_configuration)
 
@@ -161,7 +166,7 @@
             self.follower.run(),
             self._send_observations(),
             self._send_outcomes(),
-            self._send_beliefs(),
+            self._send_zone_reports(),
             self._refresh_fleet_size(),
         ):
             created = asyncio.create_task(log_failure(task, _log))
@@ -301,6 +306,12 @@
         if not message.passed_on:
             self.exchange.send_to_zone(message._replace(passed_on=True))
 
+    def _handle_loads(self, message: ZoneLoads) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.state.health_tracker.on_zone_loads(now_s, message.zone, message.loads)
+        if not message.passed_on:
+            self.exchange.send_to_zone(message._replace(passed_on=True))
+
     async def _refresh_fleet_size(self) -> None:
         """Keeps the fleet size current by requesting the host list of a random peer.
 
@@ -314,26 +325,39 @@
             self.exchange.request_hosts(targets)
             self.state.set_fleet_size(len(self.exchange.hosts.localities()))
 
-    async def _send_beliefs(self) -> None:
-        settings = self.settings
+    async def _send_zone_reports(self) -> None:
+        health_tracker = self.state.health_tracker
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(_BELIEF_INTERVAL_S)
-            if not self.follower.is_zone_reader:
-                continue
-            keys = [
-                key
-                for key, instance in self.state.directory.instances.items()
-                if instance.zone == settings.zone
-            ]
-            message = ZoneBeliefs(
-                settings.zone, False, self.state.health_tracker.beliefs(loop.time(), keys)
-            )
-            for zone, hosts in self.exchange.hosts.other_zones().items():
-                if settings.zone_regions.get(zone) == settings.region and message.beliefs:
-                    count = min(len(hosts), _BELIEF_RECEIVERS)
-                    for host in self._rng.sample(hosts, count):
-                        self.exchange.send(host, message)
+            health_tracker.expire_zone_reports(loop.time())
+            if self.follower.is_zone_reader:
+                instances = defaultdict(list)
+                for key, instance in self.state.directory.instances.items():
+                    instances[instance.zone].append(key)
+                for zone, hosts in self.exchange.hosts.other_zones().items():
+                    self._send_zone_report(loop.time(), zone, hosts, instances)
+
+    def _send_zone_report(
+        self, now_s: float, zone: str, hosts: Sequence[str], instances: Mapping[str, Sequence[str]]
+    ) -> None:
+        """Sends beliefs and loads to some `hosts` of another zone; `instances` is by zone."""
+        settings, health_tracker = self.settings, self.state.health_tracker
+        messages: list[ZoneBeliefs | ZoneLoads] = []
+        loads = health_tracker.loads(instances.get(zone, ()))
+        if loads:
+            messages.append(ZoneLoads(settings.zone, False, loads))
+        keys: Iterable[str] = instances.get(settings.zone, ())
+        if settings.zone_regions.get(zone) != settings.region:
+            # Traffic between regions is expensive, so a zone of another region is only told about
+            # those instances to which it sends requests.
+            keys = health_tracker.instances_used_by(zone)
+        beliefs = health_tracker.beliefs(now_s, keys, zone)
+        if beliefs:
+            messages.append(ZoneBeliefs(settings.zone, False, beliefs))
+        for host in self._rng.sample(hosts, min(len(hosts), _BELIEF_RECEIVERS)):
+            for message in messages:
+                self.exchange.send(host, message)
 
     async def _send_outcomes(self) -> None:
         while True:
--- a/anviltray/messages/_generated.py
+++ b/anviltray/messages/_generated.py
@@ -185,6 +185,21 @@
     )
 
 
+class InstanceLoad(NamedTuple):
+    """Requests that one availability zone has in flight at an instance of another one."""
+
+    instance: str  # Instance id.
+    outstanding: int  # Requests in flight.
+
+
+def _decode_instance_load(data: Any) -> InstanceLoad:
+    items = check_arity("InstanceLoad", data, 2)
+    return InstanceLoad(
+        instance=decode_str(items[0]),
+        outstanding=decode_int(items[1]),
+    )
+
+
 class ServiceOutcomes(NamedTuple):
     """Requests of one service that ended at one host since its last report."""
 
@@ -912,6 +927,23 @@
     )
 
 
+class ZoneLoads(NamedTuple):
+    """Datagram with the requests that one zone has in flight at instances of the receiving zone."""
+
+    zone: str  # Zone that sent the requests.
+    passed_on: bool  # Whether a host of the receiving zone has forwarded it.
+    loads: tuple[InstanceLoad, ...]  # Instances of the receiving zone with requests in flight.
+
+
+def _decode_zone_loads(data: Any) -> ZoneLoads:
+    items = check_arity("ZoneLoads", data, 3)
+    return ZoneLoads(
+        zone=decode_str(items[0]),
+        passed_on=decode_bool(items[1]),
+        loads=decode_list(items[2], _decode_instance_load),
+    )
+
+
 Message = (
     Hello
     | Proof
@@ -941,6 +973,7 @@
     | RetryLoanRequest
     | RetryLoan
     | ZoneOutcomes
+    | ZoneLoads
 )
 
 
@@ -973,6 +1006,7 @@
     RetryLoanRequest: 27,
     RetryLoan: 28,
     ZoneOutcomes: 29,
+    ZoneLoads: 30,
 }
 
 
@@ -1005,6 +1039,7 @@
     27: _decode_retry_loan_request,
     28: _decode_retry_loan,
     29: _decode_zone_outcomes,
+    30: _decode_zone_loads,
 }
 
 
@@ -1037,6 +1072,7 @@
     RetryLoanRequest: "zone",
     RetryLoan: "zone",
     ZoneOutcomes: "zone",
+    ZoneLoads: "zone",
 }
 
 
@@ -1075,6 +1111,7 @@
     "HostLocality",
     "InstanceObservation",
     "InstanceBelief",
+    "InstanceLoad",
     "ServiceOutcomes",
     "ServiceCounters",
     "UpstreamRecord",
@@ -1114,4 +1151,5 @@
     "RetryLoanRequest",
     "RetryLoan",
     "ZoneOutcomes",
+    "ZoneLoads",
 ]
