--- a/standins/tests/seeded_node.py
+++ b/standins/tests/seeded_node.py
@@ -11,7 +11,7 @@
 from time import monotonic
 
 from anviltray.callers import _exchange, _runner
-from anviltray.decisions.attempts import Forward, Start, _table
+from anviltray.decisions.attempts import AttemptEvent, Forward, Start, _table
 from anviltray.decisions.ejection import _service
 from anviltray.node import Node, main
 from anviltray.node._context import NodeContext
@@ -62,10 +62,11 @@
 def assume_not_run():
     """A failed exchange is treated as proof that the request did not run."""
 
-    async def nothing(self, call, attempt):
-        return None
+    async def assume(self, call, attempt):
+        if attempt.written and call.rule is None:
+            attempt.record(AttemptEvent.CANCELLED)
 
-    _runner.Runner._cancel_at_upstream = nothing
+    _runner.Runner._cancel_at_upstream = assume
 
 
 @seeded_fault
