--- a/standins/fleet/_fleet.py
+++ b/standins/fleet/_fleet.py
@@ -17,7 +17,7 @@
 from anviltray.declarations import Declarations, parse_declarations
 from anviltray.settings import Settings, load_settings
 from anviltray.state.configuration import put_service
-from standins._serving import address_of, bind
+from anviltray.testing import free_address
 from standins._waiting import poll_until
 from standins.caller import Caller
 from standins.fleet._handles import PlatformHandle, UpstreamHandle
@@ -305,12 +305,3 @@
     ) -> None:
         """Waits until `condition()` holds; raises TimeoutError."""
         await poll_until(condition, timeout_s)
-
-
-def free_address(ip: str) -> str:
-    """Returns an "IP:port" that is free at the moment; another process may still take it."""
-    listener = bind(f"{ip}:0")
-    try:
-        return address_of(listener)
-    finally:
-        listener.close()
