--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -45,12 +45,13 @@
 _MAX_DIRECTORY_ADDRESSES = 64  # Callers ignore further addresses in one response.
 # Observations of instances are batched this long; failures are sent to the zone at once.
 _OBSERVATION_INTERVAL_S = 0.2
-# The unserved share of a service decays within seconds, so outcomes need not be sent sooner.
-_OUTCOMES_INTERVAL_S = 0.4
+# The unserved share of a service decays within seconds, and each host processes the reports of all
+# other hosts of its zone.
+_OUTCOMES_INTERVAL_S = 1.0
 # One host of each zone sends the zone's beliefs about its instances to the other zones of the
 # region, and what the zone has in flight at their instances to all zones. Traffic between zones is
-# billed, so only two hosts per zone receive them; the second one is there in case the first one has
-# failed.
+# billed, so only two hosts per zone receive beliefs; the second one is there in case the first one
+# has failed. Loads go to one host, as a lost report of them is replaced before it matters.
 _BELIEF_INTERVAL_S = 0.5
 _BELIEF_RECEIVERS = 2
 # The fleet size, by which shared limits are divided, changes when hosts start or are added.
@@ -343,10 +344,10 @@
     ) -> None:
         """Sends beliefs and loads to some `hosts` of another zone; `instances` is by zone."""
         settings, health_tracker = self.settings, self.state.health_tracker
-        messages: list[ZoneBeliefs | ZoneLoads] = []
+        receivers = self._rng.sample(hosts, min(len(hosts), _BELIEF_RECEIVERS))
         loads = health_tracker.loads(instances.get(zone, ()))
-        if loads:
-            messages.append(ZoneLoads(settings.zone, False, loads))
+        if loads and receivers:
+            self.exchange.send(receivers[0], ZoneLoads(settings.zone, False, loads))
         keys: Iterable[str] = instances.get(settings.zone, ())
         if settings.zone_regions.get(zone) != settings.region:
             # Traffic between regions is expensive, so a zone of another region is only told about
@@ -354,10 +355,8 @@
             keys = health_tracker.instances_used_by(zone)
         beliefs = health_tracker.beliefs(now_s, keys, zone)
         if beliefs:
-            messages.append(ZoneBeliefs(settings.zone, False, beliefs))
-        for host in self._rng.sample(hosts, min(len(hosts), _BELIEF_RECEIVERS)):
-            for message in messages:
-                self.exchange.send(host, message)
+            for host in receivers:
+                self.exchange.send(host, ZoneBeliefs(settings.zone, False, beliefs))
 
     async def _send_outcomes(self) -> None:
         while True:
