--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -232,7 +232,8 @@
         ]
         if not due:
             return None
-        explored = min(due, key=lambda item: item.health.last_evidence_s)
+        # At the start of a fleet there is no evidence, so each host takes another instance.
+        explored = min(due, key=lambda item: (item.health.last_evidence_s, self._rng.random()))
         explored.health.last_explored_s = now_s
         return explored
 
--- a/anviltray/decisions/placement/tests/test_floor.py
+++ b/anviltray/decisions/placement/tests/test_floor.py
@@ -8,7 +8,7 @@
 import pytest
 
 from anviltray.decisions.placement.tests.replay import ZoneSimulation, is_healthy_from
-from anviltray.decisions.placement.tests.test_placement import DURATION_S
+from anviltray.decisions.placement.tests.test_placement import DURATION_S, Host, instance, request
 
 # A service must use at least this share of its healthy instances in every window in which the share
 # of unserved requests lies between the bounds.
@@ -58,3 +58,13 @@
 def test_healthy_instances_keep_getting_requests(seed, rate_s, count, lost_share, hosts, slots):
     simulation = ZoneSimulation(seed, rate_s, count, lost_share, hosts, slots)
     assert windows_below_floor(simulation) == []
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_hosts_that_know_nothing_start_with_different_instances(seed):
+    instances = [instance(number) for number in range(9)]
+    first = request()._replace(no_other_explorers=True)
+    chosen = {
+        Host(seed * 100 + number).choose(0.0, first, instances).instance.id for number in range(23)
+    }
+    assert len(chosen) >= FLOOR_SHARE * len(instances)
