--- a/anviltray/edge/_call.py
+++ b/anviltray/edge/_call.py
@@ -34,6 +34,7 @@
         route: PrefixRoute,
         service: str,
         clock: ElapsedClock,
+        received_s: float,
     ) -> None:
         self.exchange = exchange
         self.head = head
@@ -41,7 +42,7 @@
         self.route = route
         self.service = service
         self._clock = clock
-        self.received_s = clock.now_s()
+        self.received_s = received_s  # Time of arrival by the clock.
         # The earlier of the caller's deadline and the route timeout set by the operator.
         self.expires_s = self.received_s + min(head.deadline_s, route.timeout_s)
         self.history: list[dict[str, Any]] = []  # Attempts and placement inputs, for the log.
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -42,6 +42,12 @@
 # Interval at which a request without a response looks for a free instance and a retry for a second
 # attempt, if there were none at first.
 _HEDGE_RETRY_INTERVAL_S = 0.2
+# A host that has just started responds to its first requests when it has loaded its state, which
+# takes a few tenths of a second. Callers give up after a second or a third of their time if they
+# get no sign of progress.
+_MAX_LOAD_WAIT_S = 1.0
+_LOAD_WAIT_SHARE = 1 / 3
+_MAX_LOAD_WAITERS = 200  # Requests that wait at the same time; more are rejected at once.
 _DEFAULT_RETRY_AFTER_S = 0.4  # Retry-After if placement gives no estimate.
 
 _NOT_READY = Problem(
@@ -124,6 +130,7 @@
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._caller_headers = caller_headers
+        self._load_waiters = 0
         self.set_limits(settings)
         self._instance_header = instance_header
         self._seal_name = seal_header.lower().encode()
@@ -150,6 +157,12 @@
 
     async def _handle(self, exchange: CallerExchange, head: RequestHead) -> None:
         state = self._state
+        received_s = state.clock.now_s()
+        if not state.loaded.is_set():
+            await self._wait_for_load(head)
+            if exchange.disconnected:
+                self._metrics.count("callers_left")
+                return
         route = state.find_route(head.host, head.path)
         if state.configuration is None or route is None:
             problem = _NOT_READY if state.configuration is None else _NO_ROUTE
@@ -166,7 +179,7 @@
             return
         body = RequestBody(exchange, head.content_length, self._body_limit)
         service = state.choose_service(route)
-        call = EdgeCall(exchange, head, body, route, service, state.clock)
+        call = EdgeCall(exchange, head, body, route, service, state.clock, received_s)
         exchange.on_disconnect = call.on_disconnect
         timer = self._loop.call_later(call.remaining_s(), call.expire)
         status = 0
@@ -192,6 +205,20 @@
             exchange.on_disconnect = None
             self._record_request(call, status)
 
+    async def _wait_for_load(self, head: RequestHead) -> None:
+        """Waits until the host has loaded its state, at most for a part of the request's time."""
+        if self._load_waiters >= _MAX_LOAD_WAITERS:
+            return
+        self._load_waiters += 1
+        self._metrics.count("load_waits")
+        try:
+            async with asyncio.timeout(min(_MAX_LOAD_WAIT_S, head.deadline_s * _LOAD_WAIT_SHARE)):
+                await self._state.loaded.wait()
+        except TimeoutError:
+            pass
+        finally:
+            self._load_waiters -= 1
+
     def _timeout_problem(self, call: EdgeCall) -> Problem:
         if call.history:
             # An instance may have started on the part of the body that reached it.
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -122,6 +122,7 @@
         self.exchange.register_handler(ZoneLoads, self._handle_loads)
         self.exchange.subscribe_to_lost_hosts(self.state.health_tracker.remove_peer)
         self.follower.subscribe_to_configurations(self._apply_configuration)
+        self.follower.subscribe_to_load(self.state.loaded.set)
 
     async def start(self) -> None:
         """Binds all addresses and starts the tasks; raises OSError if an address is in use."""
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -52,6 +52,7 @@
         self.response_times = ResponseTimes()
         self.unserved = UnservedShare()
         self.configuration: RoutingConfiguration | None = None
+        self.loaded = asyncio.Event()  # The configuration and the instances are known.
         self.shutting_down = False
         self.clock = ElapsedClock()
         self.urgent = asyncio.Event()  # Failure evidence must be sent to the zone at once.
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -106,6 +106,7 @@
         self._behind_since: float | None = None
         self._configuration_fetch_delay_s = 0.0  # Delay with jitter, drawn when falling behind.
         self._configuration_handlers: list[Callable[[RoutingConfiguration], None]] = []
+        self._load_handlers: list[Callable[[], None]] = []
         self.configuration: RoutingConfiguration | None = None
         self.instances_offset = _UNKNOWN
         self.reaches_store = False
@@ -138,6 +139,10 @@
         """Registers a handler of new configurations."""
         self._configuration_handlers.append(handler)
 
+    def subscribe_to_load(self, handler: Callable[[], None]) -> None:
+        """Registers a handler that is called once, when the state has been loaded."""
+        self._load_handlers.append(handler)
+
     def snapshot(self) -> StoreSnapshot:
         """Returns a snapshot of the replica for a peer."""
         changes = tuple(KeyedChange(key, payload) for key, payload in self._registrations.items())
@@ -206,6 +211,8 @@
             if not self.loaded:
                 await asyncio.sleep(pause_s * (1 + self._rng.random()))
                 pause_s = min(2 * pause_s, _RETRY_BACKOFF_S[1])
+        for handler in self._load_handlers:
+            handler()
         self._exchange.send_beacon()
 
     async def _load_from_peer(self) -> bool:
