--- a/anviltray/decisions/placement/_belief.py
+++ b/anviltray/decisions/placement/_belief.py
@@ -31,20 +31,23 @@
     probability of 0.75, which then decays exponentially to 0.5.
     """
 
-    __slots__ = ("_log_odds", "_model", "updated_s")
+    __slots__ = ("_last", "_relaxation_s", "_share", "updated_s")
 
     def __init__(self, model: PhaseModel) -> None:
-        self._model = model
-        share = model.unhealthy_share
-        self._log_odds = math.log(share / (1 - share))
+        self._share = model.unhealthy_share
+        self._relaxation_s = model.relaxation_s
+        self._last = self._share  # Probability at the time of the latest evidence.
         self.updated_s = float("-inf")  # Time of the latest evidence.
 
     def probability(self, now_s: float) -> float:
         """Returns the probability of the unhealthy state."""
-        share = self._model.unhealthy_share
-        last = 1 / (1 + math.exp(-self._log_odds))
-        weight = math.exp(-max(0.0, now_s - self.updated_s) / self._model.relaxation_s)
-        return share + (last - share) * weight
+        weight = math.exp(min(0.0, self.updated_s - now_s) / self._relaxation_s)
+        return self._share + (self._last - self._share) * weight
+
+    @property
+    def lower_bound(self) -> float:
+        """Probability that cannot be undercut without new evidence."""
+        return min(self._last, self._share)
 
     def add_evidence(self, now_s: float, log_likelihood_ratio: float) -> None:
         """Adds evidence; a positive ratio makes the unhealthy state more probable."""
@@ -56,7 +59,8 @@
             self._set(now_s, _log_odds(probability))
 
     def _set(self, now_s: float, log_odds: float) -> None:
-        self._log_odds = max(-_LOG_ODDS_LIMIT, min(_LOG_ODDS_LIMIT, log_odds))
+        bounded = max(-_LOG_ODDS_LIMIT, min(_LOG_ODDS_LIMIT, log_odds))
+        self._last = 1 / (1 + math.exp(-bounded))
         self.updated_s = now_s
 
 
--- a/anviltray/decisions/placement/_evidence.py
+++ b/anviltray/decisions/placement/_evidence.py
@@ -108,7 +108,7 @@
     @property
     def total_outstanding(self) -> int:
         """Requests in flight from all hosts of the zone and from other zones."""
-        return self.local_outstanding + self.zone_outstanding
+        return self.outstanding + self.peer_outstanding + self.zone_outstanding
 
     @property
     def last_evidence_s(self) -> float:
@@ -130,6 +130,11 @@
             return reset
         return reset + (1 - reset) * error
 
+    @property
+    def min_unhealthy_probability(self) -> float:
+        """Probability below which `unhealthy_probability` does not fall without new evidence."""
+        return self._reset_belief.lower_bound
+
     def add_evidence(self, now_s: float, reset_evidence: float, error_evidence: float) -> None:
         """Adds evidence of resets and of errors as log-likelihood ratios."""
         if reset_evidence:
--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -21,6 +21,7 @@
 # the cost of distance and of one waiting request, so that it only decides between instances with
 # similar load in the same zone.
 _CONNECT_COST = 0.25
+_COST_NOISE = 0.05
 # Cost of certain failure in the same unit. A failed request that is not retryable is lost; a
 # retryable one takes another attempt.
 _NON_RETRYABLE_FAILURE_COST = 8.0
@@ -127,6 +128,19 @@
     cost: float  # Cost of load, distance and failure in mean service times.
 
 
+class _Entry(NamedTuple):
+    instance: Instance
+    health: InstanceHealth
+
+
+_Tiers = tuple[tuple[_Entry, ...], ...]
+
+
+class _ServiceTiers(NamedTuple):
+    instances: Sequence[Instance]  # Usable instances of a service.
+    tiers: _Tiers  # The same instances by distance: own zone, own region, other regions.
+
+
 class Placement:
     """Chooses instances for the requests of one host."""
 
@@ -145,22 +159,22 @@
         self._warmup = warmup
         self._connections = connections
         self._rng = rng
+        self._tiers_by_service: dict[str, _ServiceTiers] = {}
 
     def choose(
         self, now_s: float, request: PlacementRequest, instances: Sequence[Instance]
     ) -> Placed | Shed:
         """Returns the best of the usable `instances` of the service, or sheds the request."""
-        candidates = [
-            self._candidate(now_s, request, instance)
-            for instance in instances
-            if instance.id not in request.exclude
-        ]
-        if not candidates:
-            return Shed(self._retry_after_s(_MIN_RETRY_AFTER_S), 0.0, 0)
-        explored = self._explore(now_s, candidates, self._exploration(request))
+        tiers = self._tiers(request.service, instances)
+        explored = self._explore(now_s, request, tiers[0], self._exploration(request))
         if explored is not None:
             return _placed(now_s, explored, explores=True)
-        best = min(candidates, key=lambda candidate: candidate.cost)
+        best: _Candidate | None = None
+        for distance, distance_cost in enumerate(_DISTANCE_COST):
+            if best is None or best.cost > distance_cost:
+                best = self._best(now_s, request, tiers[distance], distance, best)
+        if best is None:
+            return Shed(self._retry_after_s(_MIN_RETRY_AFTER_S), 0.0, 0)
         priority = min(request.priority, 2)
         allowed_s = min(
             request.remaining_s * _DEADLINE_SHARES[priority],
@@ -170,26 +184,75 @@
         if expected_s > allowed_s:
             forced = _may_force_exploration(request)
             exploration = _Exploration(_SHED_EXPLORE_INTERVAL_S) if forced else _Exploration()
-            explored = self._explore(now_s, candidates, exploration)
+            explored = self._explore(now_s, request, tiers[0], exploration)
             if explored is not None:
                 return _placed(now_s, explored, explores=True)
             excess_s = expected_s - allowed_s
-            return Shed(self._retry_after_s(excess_s), expected_s, len(candidates))
+            excluded = sum(instance.id in request.exclude for instance in instances)
+            return Shed(self._retry_after_s(excess_s), expected_s, len(instances) - excluded)
         return _placed(now_s, best, explores=False)
 
-    def _candidate(self, now_s: float, request: PlacementRequest, instance: Instance) -> _Candidate:
-        health = self._tracker.health(instance.id)
+    def _tiers(self, service: str, instances: Sequence[Instance]) -> _Tiers:
+        """Returns the instances by distance; they are grouped again only if they have changed."""
+        known = self._tiers_by_service.get(service)
+        if known is not None and known.instances is instances:
+            return known.tiers
+        entries = [_Entry(instance, self._tracker.health(instance.id)) for instance in instances]
+        tiers = tuple(
+            tuple(entry for entry in entries if self._distance(entry.instance) == distance)
+            for distance in range(len(_DISTANCE_COST))
+        )
+        self._tiers_by_service[service] = _ServiceTiers(instances, tiers)
+        return tiers
+
+    def _best(
+        self,
+        now_s: float,
+        request: PlacementRequest,
+        entries: Sequence[_Entry],
+        distance: int,
+        best: _Candidate | None,
+    ) -> _Candidate | None:
+        """Returns the best of the instances at one distance if it is better than `best`.
+
+        The exact cost is only computed for those that may be better by a lower bound of it.
+        """
+        limit = math.inf if best is None else best.cost
+        failure_cost = _failure_cost(request)
+        distance_cost = _DISTANCE_COST[distance]
+        random = self._rng.random
+        for instance, health in entries:
+            load = (health.total_outstanding + 1) / instance.slots
+            min_cost = distance_cost + _BUSY_COST * load
+            if load > 1:
+                min_cost += load - 1
+            # Noise, because hosts with the same observations would all choose the same instance.
+            noise = _COST_NOISE * random()
+            min_cost += failure_cost * health.min_unhealthy_probability + noise
+            if min_cost < limit and instance.id not in request.exclude:
+                candidate = self._candidate(now_s, request, instance, health, distance, noise)
+                if candidate.cost < limit:
+                    best, limit = candidate, candidate.cost
+        return best
+
+    def _candidate(
+        self,
+        now_s: float,
+        request: PlacementRequest,
+        instance: Instance,
+        health: InstanceHealth,
+        distance: int = 0,
+        noise: float = 0.0,
+    ) -> _Candidate:
         slots = float(instance.slots)
         if self._warmup.is_warming(now_s, instance.id):
             slots *= _WARMUP_SPEED
         load = (health.total_outstanding + 1) / slots + health.refusal_load(now_s)
-        cost = max(0.0, load - 1) + _BUSY_COST * load + _DISTANCE_COST[self._distance(instance)]
-        failure_cost = _RETRYABLE_FAILURE_COST if request.retryable else _NON_RETRYABLE_FAILURE_COST
-        cost += failure_cost * health.unhealthy_probability(now_s)
+        cost = max(0.0, load - 1) + _BUSY_COST * load + _DISTANCE_COST[distance]
+        cost += _failure_cost(request) * health.unhealthy_probability(now_s)
         if not self._connections.can_reuse(instance.address, request.unrepeatable):
             cost += _CONNECT_COST
-        # Random noise, because hosts with the same observations would all choose the same instance.
-        return _Candidate(instance, health, load, cost + 0.05 * self._rng.random())
+        return _Candidate(instance, health, load, cost + noise)
 
     def _distance(self, instance: Instance) -> int:
         if instance.zone == self._locality.zone:
@@ -215,21 +278,29 @@
         return _Exploration()
 
     def _explore(
-        self, now_s: float, candidates: Sequence[_Candidate], exploration: _Exploration
+        self,
+        now_s: float,
+        request: PlacementRequest,
+        entries: Sequence[_Entry],
+        exploration: _Exploration,
     ) -> _Candidate | None:
-        """Returns the uncertain local instance with the oldest evidence, or None if none is due."""
+        """Returns the uncertain instance with the oldest evidence, or None if none is due."""
         interval_s = exploration.interval_s
         if interval_s == math.inf:
             return None
-        due = [
-            item
-            for item in candidates
-            if item.instance.zone == self._locality.zone
-            and item.load <= 1
-            and now_s - max(item.health.last_explored_s, item.health.last_evidence_s) > interval_s
-            and item.health.unhealthy_probability(now_s) > exploration.min_probability
-            and item.health.error_probability(now_s) <= exploration.max_error_probability
-        ]
+        due = []
+        for instance, health in entries:
+            if now_s - health.last_explored_s <= interval_s:
+                continue
+            if now_s - health.last_evidence_s <= interval_s or instance.id in request.exclude:
+                continue
+            if (
+                health.unhealthy_probability(now_s) > exploration.min_probability
+                and health.error_probability(now_s) <= exploration.max_error_probability
+            ):
+                candidate = self._candidate(now_s, request, instance, health)
+                if candidate.load <= 1:
+                    due.append(candidate)
         if not due:
             return None
         # At the start of a fleet there is no evidence, so each host takes another instance.
@@ -261,6 +332,10 @@
     return request.retryable or request.no_other_explorers
 
 
+def _failure_cost(request: PlacementRequest) -> float:
+    return _RETRYABLE_FAILURE_COST if request.retryable else _NON_RETRYABLE_FAILURE_COST
+
+
 def _placed(now_s: float, candidate: _Candidate, *, explores: bool) -> Placed:
     health = candidate.health
     return Placed(
