--- a/anviltray/decisions/entry/__init__.py
+++ b/anviltray/decisions/entry/__init__.py
@@ -1,5 +1,10 @@
-"""Selection of the node addresses that a caller connects to."""
+"""Selection of the hosts and nodes that callers connect to."""
 
 from anviltray.decisions.entry._addresses import entry_addresses
+from anviltray.decisions.entry._serving import (
+    MIN_SERVING_HOSTS,
+    REQUESTS_PER_HOST_S,
+    ServingHosts,
+)
 
-__all__ = ["entry_addresses"]
+__all__ = ["MIN_SERVING_HOSTS", "REQUESTS_PER_HOST_S", "ServingHosts", "entry_addresses"]
--- a/anviltray/decisions/placement/_unserved.py
+++ b/anviltray/decisions/placement/_unserved.py
@@ -1,4 +1,4 @@
-"""Share of the recent requests of a service that were not served in an availability zone.
+"""Rate of the recent requests of an availability zone, and the share that was not served.
 
 Load pattern: when a service fails or sheds many requests, healthy instances also appear unhealthy.
 Uncertain instances must then be explored sooner, or the load stays on too few instances. In a large
@@ -6,6 +6,7 @@
 report to each other.
 """
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -64,6 +65,11 @@
         counts = self._decayed(now_s, service)
         return counts.unserved / (counts.total + _ASSUMED_SERVED)
 
+    def request_rate_s(self, now_s: float) -> float:
+        """Returns the requests per second of the whole zone to all services."""
+        total = sum(self._decayed(now_s, service).total for service in self._counts)
+        return total * math.log(2) / _HALF_LIFE_S
+
     def keep_only(self, services: Iterable[str]) -> None:
         """Drops the counts of services that no longer exist."""
         self._counts = {name: self._counts[name] for name in services if name in self._counts}
--- a/anviltray/decisions/placement/tests/test_connections.py
+++ b/anviltray/decisions/placement/tests/test_connections.py
@@ -11,6 +11,7 @@
 import pytest
 
 from anviltray.decisions import ExchangeOutcome
+from anviltray.decisions.entry import ServingHosts
 from anviltray.decisions.placement.tests.test_placement import Host, instance, request
 
 HOSTS, INSTANCES, SLOTS = 11, 3, 3
@@ -41,18 +42,18 @@
     assert host.choose(1.0, request(), instances).instance.id == f"i-{expected}"
 
 
-def replay(rate_s, service_s, seed):
+def replay(rate_s, service_s, seed, host_count=HOSTS, instance_count=INSTANCES):
     """Returns new connections per request, the mean time in the system and the peak imbalance."""
     rng = random.Random(seed)
-    hosts = [Host(seed * 100 + number) for number in range(HOSTS)]
-    instances = [instance(number, slots=SLOTS) for number in range(INSTANCES)]
+    hosts = [Host(seed * 100 + number) for number in range(host_count)]
+    instances = [instance(number, slots=SLOTS) for number in range(instance_count)]
     free_s = {item.id: [0.0] * SLOTS for item in instances}
     idle = [{} for _ in hosts]  # Times of release of the idle connections, by address.
     events, requests, opened, total_s, sent = [], 0, 0, 0.0, Counter()
     now_s = 0.0
     while now_s < DURATION_S:
         now_s += rng.expovariate(rate_s)
-        events.append((now_s, len(events), rng.randrange(HOSTS), None))
+        events.append((now_s, len(events), rng.randrange(host_count), None))
     heapq.heapify(events)
     order = len(events)
     while events:
@@ -87,7 +88,7 @@
         for peer in hosts:
             if peer is not host:
                 peer.tracker.on_peer_observations(now_s, str(number), observations)
-    return opened / requests, total_s / requests, max(sent.values()) * INSTANCES / requests
+    return opened / requests, total_s / requests, max(sent.values()) * instance_count / requests
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -97,3 +98,16 @@
     assert opened_share < 1 / 6
     assert mean_s < 1.15 * 0.25
     assert imbalance < 2.0
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(("ready", "rate_s"), [(11, 19.0), (38, 85.0)])
+def test_serving_hosts_open_fewer_connections_than_all_hosts(ready, rate_s, seed):
+    """The sizes are those of a zone of 11 and of 38 hosts with 9 and 30 instances of a service."""
+    addresses = [f"10.1.0.{number}:80" for number in range(ready)]
+    serving = len(ServingHosts().choose(0.0, addresses, rate_s))
+    instance_count = ready * 4 // 5
+    opened_share, _, _ = replay(rate_s, 0.25, seed, serving, instance_count)
+    opened_share_of_all, _, _ = replay(rate_s, 0.25, seed, ready, instance_count)
+    assert opened_share < opened_share_of_all
+    assert opened_share < 1 / 6
--- a/anviltray/decisions/placement/tests/test_unserved.py
+++ b/anviltray/decisions/placement/tests/test_unserved.py
@@ -53,3 +53,16 @@
     host.on_peer_outcomes(0.0, [ServiceOutcomes("keeper", 8, 8)])
     host.keep_only(["supply"])
     assert host.share(0.0, "keeper") == 0.0
+
+
+@pytest.mark.parametrize(("rate_s", "idle_s", "low", "high"), [(10, 0, 9, 12), (10, 30, 0, 0.1)])
+def test_request_rate_counts_the_requests_of_all_hosts_and_services(rate_s, idle_s, low, high):
+    hosts = [UnservedShare(), UnservedShare()]
+    seconds = 30
+    for number in range(rate_s * seconds):
+        now_s = number / rate_s
+        host = hosts[number % 2]
+        host.on_request_ended(now_s, f"service-{number % 3}", served=number % 5 > 0)
+        hosts[1 - number % 2].on_peer_outcomes(now_s, host.pop_outcomes())
+    for host in hosts:
+        assert low <= host.request_rate_s(seconds + idle_s) <= high
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -23,6 +23,7 @@
     SnapshotResource,
     create_application,
 )
+from anviltray.edge._serving import ServingZone
 from anviltray.edge._state import EdgeState
 from anviltray.messages import (
     HostBeacon,
@@ -48,10 +49,10 @@
 # The unserved share of a service decays within seconds, and each host processes the reports of all
 # other hosts of its zone.
 _OUTCOMES_INTERVAL_S = 1.0
-# One host of each zone sends the zone's beliefs about its instances to the other zones of the
-# region, and what the zone has in flight at their instances to all zones. Traffic between zones is
-# billed, so only two hosts per zone receive beliefs; the second one is there in case the first one
-# has failed. Loads go to one host, as a lost report of them is replaced before it matters.
+# One serving host of each zone sends the zone's beliefs about its instances to the other zones of
+# the region, and what the zone has in flight at their instances to all zones. Traffic between zones
+# is billed, so only two hosts per zone receive beliefs; the second one is there in case the first
+# one has failed. Loads go to one host, as a lost report of them is replaced before it matters.
 _BELIEF_INTERVAL_S = 0.5
 _BELIEF_RECEIVERS = 2
 # The fleet size, by which shared limits are divided, changes when hosts start or are added.
@@ -105,6 +106,7 @@
             names.SEAL_HEADER,
         )
         self._slack_timer: asyncio.TimerHandle | None = None
+        self._serving_zone = ServingZone(self.state, self.exchange)
         self._incarnation = secrets.randbits(63)
         self._sequence = 0
         self._listening = False
@@ -121,6 +123,7 @@
         self.exchange.register_handler(ZoneBeliefs, self._handle_beliefs)
         self.exchange.register_handler(ZoneLoads, self._handle_loads)
         self.exchange.subscribe_to_lost_hosts(self.state.health_tracker.remove_peer)
+        self.exchange.subscribe_to_lost_hosts(self._serving_zone.remove_host)
         self.follower.subscribe_to_configurations(self._apply_configuration)
         self.follower.subscribe_to_load(self.state.loaded.set)
 
@@ -239,15 +242,9 @@
         return tuple(reasons)
 
     def entry_addresses(self) -> tuple[str, ...]:
-        """Returns the addresses of the ready hosts of this zone."""
-        addresses = [
-            host.beacon.caller_address
-            for host in self.exchange.alive()
-            if host.beacon.state == "ready"
-        ]
-        if not self.not_ready_reasons():
-            addresses.append(self.settings.caller_address)
-        return tuple(addresses[:_MAX_DIRECTORY_ADDRESSES])
+        """Returns the addresses of the serving hosts of this zone."""
+        serving = self._serving_zone.hosts(own_ready=not self.not_ready_reasons())
+        return tuple(serving.values())[:_MAX_DIRECTORY_ADDRESSES]
 
     def _on_task_done(self, task: asyncio.Task[Any]) -> None:
         if not task.cancelled() and task.exception() is not None:
@@ -296,6 +293,7 @@
 
     def _handle_observations(self, message: ZoneObservations) -> None:
         now_s = asyncio.get_running_loop().time()
+        self._serving_zone.on_observations(message.host)
         self.state.health_tracker.on_peer_observations(now_s, message.host, message.observations)
 
     def _handle_outcomes(self, message: ZoneOutcomes) -> None:
@@ -306,13 +304,15 @@
         now_s = asyncio.get_running_loop().time()
         self.state.health_tracker.on_zone_beliefs(now_s, message.zone, message.beliefs)
         if not message.passed_on:
-            self.exchange.send_to_zone(message._replace(passed_on=True))
+            receivers = self._serving_zone.receivers()
+            self.exchange.send_to_hosts(receivers, message._replace(passed_on=True))
 
     def _handle_loads(self, message: ZoneLoads) -> None:
         now_s = asyncio.get_running_loop().time()
         self.state.health_tracker.on_zone_loads(now_s, message.zone, message.loads)
         if not message.passed_on:
-            self.exchange.send_to_zone(message._replace(passed_on=True))
+            receivers = self._serving_zone.receivers()
+            self.exchange.send_to_hosts(receivers, message._replace(passed_on=True))
 
     async def _refresh_fleet_size(self) -> None:
         """Keeps the fleet size current by requesting the host list of a random peer.
@@ -333,7 +333,8 @@
         while True:
             await asyncio.sleep(_BELIEF_INTERVAL_S)
             health_tracker.expire_zone_reports(loop.time())
-            if self.follower.is_zone_reader:
+            serving = self._serving_zone.hosts(own_ready=not self.not_ready_reasons())
+            if next(iter(serving), None) == self.settings.address:
                 instances = defaultdict(list)
                 for key, instance in self.state.directory.instances.items():
                     instances[instance.zone].append(key)
@@ -378,7 +379,7 @@
             observations = health_tracker.pop_observations()
             if observations:
                 message = ZoneObservations(self.settings.address, observations)
-                self.exchange.send_to_zone(message)
+                self.exchange.send_to_hosts(self._serving_zone.receivers(), message)
             if now_s - last_statistics_s > _STATISTICS_INTERVAL_S:
                 last_statistics_s = now_s
                 health_tracker.keep_only(self.state.directory.instances)
--- /dev/null
+++ b/anviltray/edge/_serving.py
@@ -0,0 +1,60 @@
+"""Which hosts of the zone serve callers, and which hosts have to know about instances."""
+
+import asyncio
+
+from anviltray.decisions.entry import ServingHosts
+from anviltray.edge._state import EdgeState
+from anviltray.zone import ZoneExchange
+
+# A host that has sent observations within this time still serves callers, listed or not: callers
+# may use an address list three times as long as its lifetime.
+_ACTIVE_S = 6.0
+
+
+class ServingZone:
+    """The serving hosts of the zone of one host (see `decisions.entry`).
+
+    Only they need to know about instances, so observations, beliefs and loads are sent to them and
+    to hosts that still have callers. That keeps the datagrams of a host bounded by the traffic of
+    its zone, whatever the number of hosts.
+    """
+
+    def __init__(self, state: EdgeState, exchange: ZoneExchange) -> None:
+        self._state = state
+        self._exchange = exchange
+        self._hosts = ServingHosts()
+        self._loop = asyncio.get_running_loop()
+        self._observed_s: dict[str, float] = {}  # Time of the latest observations of a host.
+
+    def hosts(self, own_ready: bool) -> dict[str, str]:
+        """Returns the caller addresses of the serving hosts by IP address, best first.
+
+        `own_ready` tells whether this host itself may be among them.
+        """
+        now_s = self._loop.time()
+        ready = {
+            host.beacon.host: host.beacon.caller_address
+            for host in self._exchange.alive()
+            if host.beacon.state == "ready"
+        }
+        settings = self._state.settings
+        if own_ready:
+            ready[settings.address] = settings.caller_address
+        request_rate_s = self._state.unserved.request_rate_s(now_s)
+        chosen = self._hosts.choose(now_s, ready, request_rate_s)
+        return {host: ready[host] for host in chosen}
+
+    def on_observations(self, host: str) -> None:
+        """Records that another host has sent observations, so it has callers."""
+        self._observed_s[host] = self._loop.time()
+
+    def remove_host(self, host: str) -> None:
+        """Forgets a host that has stopped or is unreachable."""
+        self._observed_s.pop(host, None)
+
+    def receivers(self) -> frozenset[str]:
+        """Returns the other hosts that need to know about instances."""
+        now_s = self._loop.time()
+        active = (host for host, at_s in self._observed_s.items() if now_s - at_s < _ACTIVE_S)
+        others = {*self.hosts(own_ready=False), *active}
+        return frozenset(others - {self._state.settings.address})
--- /dev/null
+++ b/anviltray/edge/tests/test_serving.py
@@ -0,0 +1,58 @@
+"""Guards against directory responses that differ between hosts or name a host that has stopped."""
+
+import asyncio
+import json
+
+from anviltray.decisions.entry import MIN_SERVING_HOSTS
+from anviltray.edge.tests.support import Fleet, respond
+
+HOSTS = MIN_SERVING_HOSTS + 2
+
+
+async def listed(fleet, host):
+    page = await fleet.page("/v1/resolve?name=x", host, "directory_address")
+    return frozenset(json.loads(page.body)["addresses"])
+
+
+def test_all_hosts_list_the_same_serving_hosts_and_replace_a_stopping_one(tmp_path):
+    async def main():
+        async with Fleet(tmp_path, [respond()], HOSTS) as fleet:
+            everyone = range(HOSTS)
+            await fleet.until(
+                lambda: all(len(host.exchange.alive()) == HOSTS - 1 for host in fleet.hosts)
+            )
+            await fleet.until(
+                lambda: len({frozenset(host.entry_addresses()) for host in fleet.hosts}) == 1
+            )
+            (before,) = {await listed(fleet, host) for host in everyone}
+            assert len(before) == MIN_SERVING_HOSTS
+            # A host that is not listed serves callers that still have its address.
+            other = next(
+                number
+                for number, host in enumerate(fleet.hosts)
+                if host.settings.caller_address not in before
+            )
+            assert (await fleet.call("GET /level/1", host=other)).status == 200
+            stopping = next(host for host in fleet.hosts if host.settings.caller_address in before)
+            stopping.state.shutting_down = True
+            stopping.exchange.send_beacon()
+            await fleet.until(
+                lambda: len({frozenset(host.entry_addresses()) for host in fleet.hosts}) == 1
+            )
+            (after,) = {await listed(fleet, host) for host in everyone}
+            assert before - after == {stopping.settings.caller_address}
+            assert len(after) == MIN_SERVING_HOSTS
+
+    asyncio.run(main())
+
+
+def test_the_number_of_serving_hosts_follows_the_requests_of_the_zone(tmp_path):
+    async def main():
+        async with Fleet(tmp_path, [respond()], HOSTS) as fleet:
+            for number in range(200):
+                answer = await fleet.call("GET /level/1", host=number % 2, request_id=f"c{number}")
+                assert answer.status == 200
+            # The other hosts learn of the requests from the reports of the two.
+            await fleet.until(lambda: len(fleet.hosts[-1].entry_addresses()) == HOSTS)
+
+    asyncio.run(main())
--- a/anviltray/zone/_exchange.py
+++ b/anviltray/zone/_exchange.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, TypeVar
 
 import logbook
@@ -101,9 +101,13 @@
 
     def send_to_zone(self, message: Message) -> None:
         """Sends a message to all live hosts of the zone."""
+        self.send_to_hosts((host.beacon.host for host in self.alive()), message)
+
+    def send_to_hosts(self, addresses: Iterable[str], message: Message) -> None:
+        """Sends a message to several hosts."""
         data = encode_message(message)
-        for host in self.alive():
-            self._send_data(host.beacon.host, data)
+        for address in addresses:
+            self._send_data(address, data)
 
     def alive(self) -> tuple[ZoneHost, ...]:
         """Returns the other live hosts of the zone."""
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -126,11 +126,6 @@
         """Whether the configuration and the registrations have been loaded."""
         return self.configuration is not None and self.instances_offset != _UNKNOWN
 
-    @property
-    def is_zone_reader(self) -> bool:
-        """Whether this host is the one that reads the store for its zone."""
-        return self.reaches_store and self._read_interval_s() == READ_INTERVAL_S
-
     def read_age_s(self) -> float:
         """Returns the age in seconds of the newest read whose result this host has."""
         return self._loop.time() - self.last_read_s
