--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -243,7 +243,7 @@
 
     def entry_addresses(self) -> tuple[str, ...]:
         """Returns the addresses of the serving hosts of this zone."""
-        serving = self._serving_zone.hosts(own_ready=not self.not_ready_reasons())
+        serving = self._serving_zone.listed(own_ready=not self.not_ready_reasons())
         return tuple(serving.values())[:_MAX_DIRECTORY_ADDRESSES]
 
     def _on_task_done(self, task: asyncio.Task[Any]) -> None:
--- a/anviltray/edge/_serving.py
+++ b/anviltray/edge/_serving.py
@@ -2,10 +2,14 @@
 
 import asyncio
 
+import logbook
+
 from anviltray.decisions.entry import ServingHosts
 from anviltray.edge._state import EdgeState
 from anviltray.zone import ZoneExchange
 
+_log = logbook.Logger("anviltray.edge")
+
 # A host that has sent observations within this time still serves callers, listed or not: callers
 # may use an address list three times as long as its lifetime.
 _ACTIVE_S = 6.0
@@ -24,6 +28,7 @@
         self._exchange = exchange
         self._hosts = ServingHosts()
         self._loop = asyncio.get_running_loop()
+        self._listed: frozenset[str] = frozenset()  # Serving hosts of the latest list, for the log.
         self._observed_s: dict[str, float] = {}  # Time of the latest observations of a host.
 
     def hosts(self, own_ready: bool) -> dict[str, str]:
@@ -44,6 +49,24 @@
         chosen = self._hosts.choose(now_s, ready, request_rate_s)
         return {host: ready[host] for host in chosen}
 
+    def listed(self, own_ready: bool) -> dict[str, str]:
+        """Returns `hosts` for a caller, and logs a change of what callers are told."""
+        hosts = self.hosts(own_ready)
+        listed = frozenset(hosts)
+        if listed != self._listed:
+            request_rate_s = self._state.unserved.request_rate_s(self._loop.time())
+            _log.info(
+                "serving hosts changed",
+                extra={
+                    "count": len(listed),
+                    "added": sorted(listed - self._listed),
+                    "removed": sorted(self._listed - listed),
+                    "request_rate_s": round(request_rate_s, 1),
+                },
+            )
+            self._listed = listed
+        return hosts
+
     def on_observations(self, host: str) -> None:
         """Records that another host has sent observations, so it has callers."""
         self._observed_s[host] = self._loop.time()
--- a/anviltray/edge/tests/test_operations.py
+++ b/anviltray/edge/tests/test_operations.py
@@ -84,6 +84,8 @@
         assert b'anviltray_events_total{event="lookups_unavailable"} 3.0' in metrics
 
     lines = logged_lines(tmp_path, test, respond())
+    changes = [extra for _, message, extra in lines if message == "serving hosts changed"]
+    assert [extra["count"] for extra in changes] == [1]
     found = [(message, extra) for _, message, extra in lines if "directory" in message]
     assert found == [
         ("directory lookup without a ready host", {"reasons": ["the host is stopping"]}),
