--- a/anviltray/decisions/entry/_serving.py
+++ b/anviltray/decisions/entry/_serving.py
@@ -17,6 +17,8 @@
 REQUESTS_PER_HOST_S = 8.0
 # Serving hosts of a zone with little traffic, so that few callers lose a connection with each host.
 MIN_SERVING_HOSTS = 4
+# Further hosts in the order that are next to serve, so the zone should know at once if they fail.
+RESERVE_HOSTS = 4
 # Time for which half of the serving hosts must be enough before their number is reduced.
 _SHRINK_DELAY_S = 10.0
 
@@ -29,7 +31,7 @@
     zone: it rises at once and falls late, since callers drop their connections to a host that is no
     longer listed.
 
-    Example: `ServingHosts().choose(now_s, addresses, 100.0)` returns 13 of 40 addresses.
+    Example: `ServingHosts().choose(now_s, hosts, 100.0)` returns 13 of 40 hosts.
     """
 
     def __init__(self) -> None:
@@ -37,15 +39,15 @@
         self._excess_since_s = math.inf  # Since when half of the hosts would be enough.
 
     def choose(
-        self, now_s: float, addresses: Iterable[str], request_rate_s: float
+        self, now_s: float, hosts: Iterable[str], request_rate_s: float, reserve: int = 0
     ) -> tuple[str, ...]:
-        """Returns the caller addresses of the serving hosts, out of those of all ready hosts.
+        """Returns the serving hosts, out of all ready `hosts`, and up to `reserve` next ones.
 
         `request_rate_s` is the number of requests per second of the whole zone.
         """
         self._resize(now_s, math.ceil(request_rate_s / REQUESTS_PER_HOST_S))
-        ranked = sorted(addresses, key=_rank)
-        return tuple(ranked[: self._count])
+        ranked = sorted(hosts, key=_rank)
+        return tuple(ranked[: self._count + reserve])
 
     def _resize(self, now_s: float, needed: int) -> None:
         needed = max(MIN_SERVING_HOSTS, needed)
@@ -60,5 +62,5 @@
             self._excess_since_s = math.inf
 
 
-def _rank(address: str) -> int:
-    return xxhash.xxh3_64_intdigest(address.encode())
+def _rank(host: str) -> int:
+    return xxhash.xxh3_64_intdigest(host.encode())
--- a/anviltray/decisions/entry/tests/test_serving.py
+++ b/anviltray/decisions/entry/tests/test_serving.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from anviltray.decisions.entry import MIN_SERVING_HOSTS, REQUESTS_PER_HOST_S, ServingHosts
+from anviltray.decisions.entry import (
+    MIN_SERVING_HOSTS,
+    REQUESTS_PER_HOST_S,
+    RESERVE_HOSTS,
+    ServingHosts,
+)
 
 HOSTS = [f"10.1.0.{number}:8144" for number in range(40)]
 
@@ -57,3 +62,13 @@
     for now_s, rate_s in rates:
         chosen = choose(HOSTS, rate_s, now_s, serving)
     assert len(chosen) == expected
+
+
+def test_the_reserve_follows_the_serving_hosts():
+    serving = choose(HOSTS, 80.0)
+    with_reserve = ServingHosts().choose(0.0, HOSTS, 80.0, RESERVE_HOSTS)
+    assert with_reserve[: len(serving)] == serving
+    assert len(with_reserve) == len(serving) + RESERVE_HOSTS
+    # Whichever serving host fails, the one that takes its place was in the reserve.
+    for failed in serving:
+        assert set(choose([host for host in HOSTS if host != failed], 80.0)) <= set(with_reserve)
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -37,7 +37,7 @@
 from anviltray.settings import HostSettings, build_caller_settings, build_upstream_settings
 from anviltray.telemetry import log_failure
 from anviltray.upstreams import UpstreamClient
-from anviltray.zone import StoreFollower, ZoneExchange, fetch_snapshot
+from anviltray.zone import STANDBY, StoreFollower, ZoneExchange, fetch_snapshot
 
 _log = logbook.Logger("anviltray.edge")
 
@@ -273,7 +273,12 @@
         self._sequence += 1
         settings = self.settings
         reasons = self.not_ready_reasons()
-        state = "leaving" if self.state.shutting_down else "starting" if reasons else "ready"
+        if self.state.shutting_down:
+            state = "leaving"
+        elif reasons:
+            state = "starting"
+        else:
+            state = STANDBY if self._serving_zone.is_standby() else "ready"
         return HostBeacon(
             host=settings.address,
             incarnation=self._incarnation,
--- a/anviltray/edge/_serving.py
+++ b/anviltray/edge/_serving.py
@@ -4,9 +4,9 @@
 
 import logbook
 
-from anviltray.decisions.entry import ServingHosts
+from anviltray.decisions.entry import RESERVE_HOSTS, ServingHosts
 from anviltray.edge._state import EdgeState
-from anviltray.zone import ZoneExchange
+from anviltray.zone import STANDBY, ZoneExchange
 
 _log = logbook.Logger("anviltray.edge")
 
@@ -31,24 +31,28 @@
         self._listed: frozenset[str] = frozenset()  # Serving hosts of the latest list, for the log.
         self._observed_s: dict[str, float] = {}  # Time of the latest observations of a host.
 
-    def hosts(self, own_ready: bool) -> dict[str, str]:
+    def hosts(self, own_ready: bool, reserve: int = 0) -> dict[str, str]:
         """Returns the caller addresses of the serving hosts by IP address, best first.
 
-        `own_ready` tells whether this host itself may be among them.
+        `own_ready` tells whether this host itself may be among them; `reserve` next hosts follow.
         """
         now_s = self._loop.time()
         ready = {
             host.beacon.host: host.beacon.caller_address
             for host in self._exchange.alive()
-            if host.beacon.state == "ready"
+            if host.beacon.state in ("ready", STANDBY)
         }
         settings = self._state.settings
         if own_ready:
             ready[settings.address] = settings.caller_address
         request_rate_s = self._state.unserved.request_rate_s(now_s)
-        chosen = self._hosts.choose(now_s, ready, request_rate_s)
+        chosen = self._hosts.choose(now_s, ready, request_rate_s, reserve)
         return {host: ready[host] for host in chosen}
 
+    def is_standby(self) -> bool:
+        """Returns whether this host, if it is ready, is neither serving nor next to serve."""
+        return self._state.settings.address not in self.hosts(True, RESERVE_HOSTS)
+
     def listed(self, own_ready: bool) -> dict[str, str]:
         """Returns `hosts` for a caller, and logs a change of what callers are told."""
         hosts = self.hosts(own_ready)
--- a/anviltray/edge/tests/test_serving.py
+++ b/anviltray/edge/tests/test_serving.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from anviltray.decisions.entry import MIN_SERVING_HOSTS
+from anviltray.decisions.entry import MIN_SERVING_HOSTS, RESERVE_HOSTS
 from anviltray.edge.tests.support import Fleet, respond
 
 HOSTS = MIN_SERVING_HOSTS + 2
@@ -56,3 +56,26 @@
             await fleet.until(lambda: len(fleet.hosts[-1].entry_addresses()) == HOSTS)
 
     asyncio.run(main())
+
+
+def test_hosts_that_are_not_next_to_serve_send_fewer_beacons(tmp_path):
+    hosts = MIN_SERVING_HOSTS + RESERVE_HOSTS + 2
+
+    async def main():
+        async with Fleet(tmp_path, [respond()], hosts) as fleet:
+            tables = [host.exchange for host in fleet.hosts]
+            await fleet.until(lambda: all(len(table.alive()) == hosts - 1 for table in tables))
+
+            def standby(table):
+                return {
+                    host.beacon.host for host in table.alive() if host.beacon.state == "standby"
+                }
+
+            await fleet.until(lambda: len(set().union(*map(standby, tables))) == 2)
+            received = tables[0].counters["received"]
+            await asyncio.sleep(3.0)
+            # The store's reader sends a beacon after each of its reads as well.
+            assert tables[0].counters["received"] - received <= 3 * (2 * (hosts - 3) + 2 + 4)
+            assert all(len(table.alive()) == hosts - 1 for table in tables)
+
+    asyncio.run(main())
--- a/anviltray/messages/_generated.py
+++ b/anviltray/messages/_generated.py
@@ -753,7 +753,7 @@
     sequence: int  # Increases with each beacon of that incarnation.
     zone: str  # Availability zone of the sender.
     caller_address: str  # IP:port that callers use.
-    state: str  # starting, ready or leaving.
+    state: str  # starting, ready, standby or leaving.
     reaches_store: bool  # Whether its last call to the store succeeded.
     configuration_version: int  # Version of the active configuration, or -1.
     instances_offset: int  # Offset up to which it has the registrations, or -1.
--- a/anviltray/zone/__init__.py
+++ b/anviltray/zone/__init__.py
@@ -2,7 +2,7 @@
 
 from anviltray.zone._exchange import ZoneExchange
 from anviltray.zone._follower import StoreFollower
-from anviltray.zone._hosts import HostTable, ZoneHost
+from anviltray.zone._hosts import STANDBY, HostTable, ZoneHost
 from anviltray.zone._snapshots import (
     SNAPSHOT_CODING,
     SNAPSHOT_PATH,
@@ -14,6 +14,7 @@
 __all__ = [
     "SNAPSHOT_CODING",
     "SNAPSHOT_PATH",
+    "STANDBY",
     "HostTable",
     "SnapshotUnavailable",
     "StoreFollower",
--- a/anviltray/zone/_exchange.py
+++ b/anviltray/zone/_exchange.py
@@ -22,7 +22,7 @@
     decode_message,
     encode_message,
 )
-from anviltray.zone._hosts import HostTable, ZoneHost
+from anviltray.zone._hosts import STANDBY, STANDBY_INTERVAL_S, HostTable, ZoneHost
 
 _log = logbook.Logger("anviltray.zone")
 
@@ -44,6 +44,8 @@
         self._own = own
         self._port = port
         self._beacon = beacon
+        self._last_beacon_s = float("-inf")  # Time of the latest beacon to the zone.
+        self._last_beacon_state = ""
         self._handlers: dict[type[Any], Callable[[Any], None]] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._host_lost_handlers: list[Callable[[str], None]] = []
@@ -75,17 +77,32 @@
     async def run(self) -> None:
         """Sends beacons and checks for lost hosts until cancelled."""
         while True:
-            self.send_beacon()
+            self._send_periodic_beacon()
             await asyncio.sleep(BEACON_INTERVAL_S)
             now_s = asyncio.get_running_loop().time()
             for address in self.hosts.remove_expired(now_s):
                 _log.info("host {} timed out: no recent beacon", address)
                 self._notify_host_lost(address)
 
+    def _send_periodic_beacon(self) -> None:
+        beacon = self._beacon(False)
+        age_s = asyncio.get_running_loop().time() - self._last_beacon_s
+        # Beacons that were sent in between for other reasons count, and timers vary a little.
+        if (
+            beacon.state != STANDBY
+            or self._last_beacon_state != STANDBY
+            or age_s > STANDBY_INTERVAL_S - BEACON_INTERVAL_S / 2
+        ):
+            self._send_to_zone_hosts(beacon)
+
     def send_beacon(self) -> None:
         """Sends a beacon to the zone."""
+        self._send_to_zone_hosts(self._beacon(False))
+
+    def _send_to_zone_hosts(self, beacon: HostBeacon) -> None:
         now_s = asyncio.get_running_loop().time()
-        data = encode_message(self._beacon(False))
+        self._last_beacon_s, self._last_beacon_state = now_s, beacon.state
+        data = encode_message(beacon)
         for address in self.hosts.beacon_targets(now_s):
             self._send_data(address, data)
 
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -35,6 +35,8 @@
 _Result = TypeVar("_Result")
 
 _POLL_INTERVAL_S = 0.1
+# The order in which the hosts of the zone read the store is computed again after this time.
+_READ_ORDER_LIFETIME_S = 0.25
 # The zone's reader long-polls the store for a new configuration with this wait. The wait is short,
 # because a dead connection is noticed only when its response is overdue.
 _LONG_POLL_S = 1.2
@@ -113,6 +115,8 @@
         # Time of the zone's newest read of the store whose result this host has.
         self.last_read_s = float("-inf")
         self.counters: Counter[str] = Counter()
+        self._own_read_interval_s = READ_INTERVAL_S
+        self._read_order_expires_s = float("-inf")
         exchange.register_handler(InstanceChanges, self._handle_changes)
         exchange.subscribe_to_beacons(self._handle_beacon)
 
@@ -257,6 +261,13 @@
                 await asyncio.sleep(_RETRY_BACKOFF_S[0])
 
     def _read_interval_s(self) -> float:
+        now_s = self._loop.time()
+        if now_s >= self._read_order_expires_s:
+            self._own_read_interval_s = self._compute_read_interval_s()
+            self._read_order_expires_s = now_s + _READ_ORDER_LIFETIME_S
+        return self._own_read_interval_s
+
+    def _compute_read_interval_s(self) -> float:
         views = [StoreView(self._own.address, self.reaches_store)]
         views += [
             StoreView(host.beacon.host, host.beacon.reaches_store)
@@ -340,6 +351,7 @@
         finally:
             if reached != self.reaches_store:
                 self.reaches_store = reached
+                self._read_order_expires_s = float("-inf")
                 _log.info("the store is {}", "reachable" if reached else "unreachable")
             if reached and self._store_lost:
                 self._on_store_recovered(0.0)
--- a/anviltray/zone/_hosts.py
+++ b/anviltray/zone/_hosts.py
@@ -7,6 +7,11 @@
 
 # A host without a beacon for this long gets no callers. Spans a few beacons, as some may be lost.
 HOST_TIMEOUT_S = 1.5
+# Hosts in this state are ready, but so far down in the order of the zone that callers are not told
+# about them even if some serving hosts fail. They send beacons at the longer interval.
+STANDBY = "standby"
+STANDBY_INTERVAL_S = 1.0
+_STANDBY_TIMEOUT_S = 2.5
 # Interval of the beacons to hosts of the zone that are not alive, to detect their recovery.
 PROBE_INTERVAL_S = 2.0
 
@@ -17,6 +22,11 @@
     beacon: HostBeacon  # Its newest beacon.
     last_seen_s: float  # Time when that beacon arrived.
 
+    def is_alive(self, now_s: float) -> bool:
+        """Returns whether the beacon is recent enough."""
+        timeout_s = _STANDBY_TIMEOUT_S if self.beacon.state == STANDBY else HOST_TIMEOUT_S
+        return now_s - self.last_seen_s < timeout_s
+
 
 class HostTable:
     """All known hosts of the fleet, with the latest beacons of those in this zone."""
@@ -63,7 +73,7 @@
         if previous is not None and previous.beacon.incarnation == beacon.incarnation:
             if beacon.sequence <= previous.beacon.sequence:
                 return "stale"
-            result = "known" if now_s - previous.last_seen_s < HOST_TIMEOUT_S else "new"
+            result = "known" if previous.is_alive(now_s) else "new"
         else:
             result = "new" if previous is None else "restarted"
         self._zones[beacon.host] = beacon.zone
@@ -72,19 +82,11 @@
 
     def alive(self, now_s: float) -> tuple[ZoneHost, ...]:
         """Returns the live hosts of the zone, sorted by address."""
-        return tuple(
-            host
-            for _, host in sorted(self._seen.items())
-            if now_s - host.last_seen_s < HOST_TIMEOUT_S
-        )
+        return tuple(host for _, host in sorted(self._seen.items()) if host.is_alive(now_s))
 
     def remove_expired(self, now_s: float) -> tuple[str, ...]:
         """Removes the hosts that have timed out since the last call and returns their addresses."""
-        expired = tuple(
-            address
-            for address, host in self._seen.items()
-            if now_s - host.last_seen_s >= HOST_TIMEOUT_S
-        )
+        expired = tuple(address for address, host in self._seen.items() if not host.is_alive(now_s))
         for address in expired:
             del self._seen[address]
         return expired
--- a/anviltray/zone/tests/test_hosts.py
+++ b/anviltray/zone/tests/test_hosts.py
@@ -22,6 +22,9 @@
         (beacon(), beacon(sequence=2), 1.0, "known"),
         (beacon(sequence=2), beacon(sequence=1), 1.0, "stale"),
         (beacon(), beacon(sequence=2), 1.0 + HOST_TIMEOUT_S, "new"),
+        # A standby host sends fewer beacons.
+        (beacon(state="standby"), beacon(sequence=2), 1.0 + HOST_TIMEOUT_S, "known"),
+        (beacon(state="standby"), beacon(sequence=2), 4.0, "new"),
         (beacon(sequence=9), beacon(incarnation=2, sequence=1), 1.0, "restarted"),
         (None, beacon(zone="labasa"), 1.0, "stale"),
         (None, beacon(host=OWN.address), 1.0, "stale"),
