--- a/anviltray/decisions/placement/_evidence.py
+++ b/anviltray/decisions/placement/_evidence.py
@@ -163,7 +163,7 @@
 
     def set_peer(self, host: str, outstanding: int) -> None:
         """Sets the requests in flight from another host."""
-        if outstanding:
+        if outstanding > 0:
             self._outstanding_by_peer[host] = outstanding
         else:
             self._outstanding_by_peer.pop(host, None)
--- a/anviltray/messages/_fields.py
+++ b/anviltray/messages/_fields.py
@@ -8,6 +8,8 @@
 
 _Item = TypeVar("_Item")
 
+_INT_LIMIT = 2**63  # CBOR has larger integers, which cannot be converted to a float.
+
 
 class MessageError(ValueError):
     """The bytes are not a valid message of this schema."""
@@ -21,16 +23,18 @@
 
 
 def decode_int(value: Any) -> int:
-    """Returns an integer; a bool is rejected."""
+    """Returns an integer of 64 bits; a bool is rejected."""
     if type(value) is not int:
         raise MessageError(f"expected an integer, found {type(value).__name__}")
+    if not -_INT_LIMIT <= value < _INT_LIMIT:
+        raise MessageError("expected an integer of 64 bits")
     return value
 
 
 def decode_float(value: Any) -> float:
     """Returns a float; integers are converted, NaN is rejected."""
     if type(value) is int:
-        return float(value)
+        return float(decode_int(value))
     if type(value) is not float or value != value:
         raise MessageError(f"expected a number, found {value!r}")
     return value
--- a/anviltray/zone/_exchange.py
+++ b/anviltray/zone/_exchange.py
@@ -22,7 +22,13 @@
     decode_message,
     encode_message,
 )
-from anviltray.zone._hosts import STANDBY, STANDBY_INTERVAL_S, HostTable, ZoneHost
+from anviltray.zone._hosts import (
+    STANDBY,
+    STANDBY_INTERVAL_S,
+    HostTable,
+    ZoneHost,
+    is_ip_address,
+)
 
 _log = logbook.Logger("anviltray.zone")
 
@@ -182,6 +188,11 @@
         self.send(request.host, HostList(self.hosts.localities()))
 
     def _send_data(self, address: str, data: bytes) -> None:
+        # The socket looks up names, which blocks the loop, and is closed by names that are invalid.
+        if not is_ip_address(address):
+            self.counters["invalid"] += 1
+            _log.warning("sent nothing to {!r}, which is no IP address", address)
+            return
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, (address, self._port))
             self.counters["sent"] += 1
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -366,8 +366,9 @@
 
     def _handle_changes(self, message: InstanceChanges) -> None:
         since_s = self._loop.time() - self._recovered_s
-        if self._store_lost or message.since_return_s < since_s - _RECOVERY_TOLERANCE_S:
-            self._on_store_recovered(message.since_return_s)
+        since_return_s = max(0.0, message.since_return_s)
+        if self._store_lost or since_return_s < since_s - _RECOVERY_TOLERANCE_S:
+            self._on_store_recovered(since_return_s)
         if message.from_offset <= self.instances_offset < message.next_offset:
             self._apply_changes(message.changes, message.next_offset)
 
@@ -382,7 +383,8 @@
             self._configuration_fetch_delay_s = _CONFIGURATION_FETCH_JITTER_S * self._rng.random()
         elif not behind and beacon.instances_offset == self.instances_offset:
             # The read counts, because this host has its result.
-            self.last_read_s = max(self.last_read_s, now_s - beacon.read_age_s)
+            # A read in the future would keep the zone from reading.
+            self.last_read_s = max(self.last_read_s, now_s - max(0.0, beacon.read_age_s))
 
     async def _catch_up(self, now_s: float) -> None:
         if self._behind_since is None:
@@ -418,7 +420,8 @@
         if snapshot.instances_offset > self.instances_offset:
             records = {change.key: change.payload for change in snapshot.instances}
             self._replace_all(records, snapshot.instances_offset)
-            self.last_read_s = max(self.last_read_s, self._loop.time() - snapshot.read_age_s)
+            read_age_s = max(0.0, snapshot.read_age_s)
+            self.last_read_s = max(self.last_read_s, self._loop.time() - read_age_s)
         return self.loaded
 
     # State
--- a/anviltray/zone/_hosts.py
+++ b/anviltray/zone/_hosts.py
@@ -1,6 +1,8 @@
 """Hosts of the fleet, known from their beacons and from the store."""
 
+import ipaddress
 from collections.abc import Iterable
+from functools import lru_cache
 from typing import NamedTuple
 
 from anviltray.messages import HostBeacon, HostLocality
@@ -16,6 +18,16 @@
 PROBE_INTERVAL_S = 2.0
 
 
+@lru_cache(maxsize=8192)
+def is_ip_address(address: str) -> bool:
+    """Returns whether datagrams can be sent to `address` without a name lookup."""
+    try:
+        ipaddress.ip_address(address)
+    except ValueError:
+        return False
+    return True
+
+
 class ZoneHost(NamedTuple):
     """Another host of this zone."""
 
@@ -40,7 +52,7 @@
     def add(self, hosts: Iterable[HostLocality]) -> None:
         """Adds known hosts."""
         for host in hosts:
-            if host.address != self._own.address:
+            if host.address != self._own.address and is_ip_address(host.address):
                 self._zones[host.address] = host.zone
 
     def localities(self) -> tuple[HostLocality, ...]:
@@ -65,10 +77,13 @@
         """Records a beacon and returns what it says about its host.
 
         "new" is a host that was not alive, "restarted" one with another incarnation and "known" any
-        other live host. "stale" beacons are ignored: they are out of order or not of this zone.
+        other live host. "stale" beacons are ignored: they are out of order, not of this zone, or
+        without valid addresses.
         """
         if beacon.zone != self._own.zone or beacon.host == self._own.address:
             return "stale"
+        if not is_ip_address(beacon.host) or not _is_endpoint(beacon.caller_address):
+            return "stale"
         previous = self._seen.get(beacon.host)
         if previous is not None and previous.beacon.incarnation == beacon.incarnation:
             if beacon.sequence <= previous.beacon.sequence:
@@ -101,3 +116,8 @@
                 self._last_probe_s[address] = now_s
                 result.append(address)
         return tuple(result)
+
+
+def _is_endpoint(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    return is_ip_address(host.strip("[]")) and port.isascii() and port.isdigit()
--- a/anviltray/zone/tests/test_hosts.py
+++ b/anviltray/zone/tests/test_hosts.py
@@ -28,6 +28,9 @@
         (beacon(sequence=9), beacon(incarnation=2, sequence=1), 1.0, "restarted"),
         (None, beacon(zone="labasa"), 1.0, "stale"),
         (None, beacon(host=OWN.address), 1.0, "stale"),
+        (None, beacon(host="example.invalid"), 1.0, "stale"),
+        (None, beacon()._replace(caller_address="10.0.0.2"), 1.0, "stale"),
+        (None, beacon()._replace(caller_address="10.0.0.2:80\r\nx"), 1.0, "stale"),
     ],
 )
 def test_update_classifies_beacons(first, second, at_s, result):
