--- a/anviltray/decisions/placement/__init__.py
+++ b/anviltray/decisions/placement/__init__.py
@@ -6,6 +6,7 @@
     HealthTracker,
     InstanceHealth,
 )
+from anviltray.decisions.placement._explorers import IdempotentShare
 from anviltray.decisions.placement._placement import (
     Locality,
     Placed,
@@ -20,6 +21,7 @@
     "ACCEPTED_AFTER_S",
     "ACKNOWLEDGEMENT_TIMEOUT_S",
     "HealthTracker",
+    "IdempotentShare",
     "InstanceHealth",
     "Locality",
     "Placed",
--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -31,7 +31,7 @@
 # which there was no evidence and no exploration within the interval.
 _EXPLORE_MIN_PROBABILITY = 0.15
 _EXPLORE_INTERVAL_S = 1.6
-# In services without idempotent requests, other requests explore after this interval. The average
+# In services with few idempotent requests, other requests explore after this interval. The average
 # unhealthy phase is over by then, and without exploration the instance would stay out of use.
 _NON_RETRYABLE_EXPLORE_INTERVAL_S = 8.0
 # Above this share of unserved requests, exploration happens after a shorter interval, does not
@@ -76,7 +76,7 @@
     remaining_s: float  # Time until the deadline of the caller.
     target_s: float  # Target latency of the route.
     exclude: frozenset[str] = frozenset()  # Instances that were tried before.
-    no_other_explorers: bool = False  # The service has no idempotent requests that could explore.
+    no_other_explorers: bool = False  # The service gets too few idempotent requests to explore.
     unserved_share: float = 0.0  # Share of the service's recent requests that were not served.
     unrepeatable: bool = False  # Whether it must not run twice, whatever attempts are left.
 
--- a/anviltray/decisions/placement/tests/replay.py
+++ b/anviltray/decisions/placement/tests/replay.py
@@ -4,7 +4,12 @@
 import random
 
 from anviltray.decisions import ExchangeOutcome
-from anviltray.decisions.placement import ACCEPTED_AFTER_S, Shed, UnservedShare
+from anviltray.decisions.placement import (
+    ACCEPTED_AFTER_S,
+    IdempotentShare,
+    Shed,
+    UnservedShare,
+)
 from anviltray.decisions.placement.tests.test_placement import (
     DURATION_S,
     HOSTS,
@@ -30,10 +35,14 @@
     Hosts receive the observations of the other hosts after a delay. Requests are not retried.
     """
 
-    def __init__(self, seed, rate_s, count, lost_share=0.0, hosts=HOSTS, slots=SLOTS):
+    def __init__(
+        self, seed, rate_s, count, lost_share=0.0, hosts=HOSTS, slots=SLOTS, idempotent=0.0
+    ):
         self.rng = random.Random(seed)
         self.hosts = [Host(seed * 100 + number) for number in range(hosts)]
         self.unserved = [UnservedShare() for _ in self.hosts]
+        self.idempotent_share = [IdempotentShare() for _ in self.hosts]
+        self.idempotent = idempotent
         self.instances = [instance(number, slots=slots) for number in range(count)]
         self.phases = {item.id: _phases(self.rng) for item in self.instances}
         self.free_s = {item.id: [0.0] * slots for item in self.instances}
@@ -56,8 +65,12 @@
     def arrive(self, now_s):
         number = self.rng.randrange(len(self.hosts))
         host, unserved = self.hosts[number], self.unserved[number]
+        # Idempotent requests differ from the others only in that hosts leave exploration to them.
+        share = self.idempotent_share[number]
+        share.on_request(now_s, "s", self.idempotent > 0 and self.rng.random() < self.idempotent)
         placement_request = request(target_s=TARGET_S, priority=1)._replace(
-            no_other_explorers=True, unserved_share=unserved.share(now_s, "s")
+            no_other_explorers=not share.has_explorers("s"),
+            unserved_share=unserved.share(now_s, "s"),
         )
         placed = host.choose(now_s, placement_request, self.instances)
         if isinstance(placed, Shed):
--- a/anviltray/decisions/placement/tests/test_floor.py
+++ b/anviltray/decisions/placement/tests/test_floor.py
@@ -45,18 +45,23 @@
 
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.parametrize(
-    ("rate_s", "count", "lost_share", "hosts", "slots"),
+    ("rate_s", "count", "lost_share", "hosts", "slots", "idempotent"),
     [
-        (150.0, 8, 0.0, 12, 6),  # Above the capacity of the healthy instances.
-        (220.0, 8, 0.0, 12, 6),  # A burst.
-        (40.0, 8, 0.15, 12, 6),  # Healthy instances lose some responses.
-        (40.0, 8, 0.15, 24, 6),
-        (37.0, 9, 0.1, 24, 3),
-        (37.0, 9, 0.1, 48, 3),
+        (150.0, 8, 0.0, 12, 6, 0.0),  # Above the capacity of the healthy instances.
+        (220.0, 8, 0.0, 12, 6, 0.0),  # A burst.
+        (40.0, 8, 0.15, 12, 6, 0.0),  # Healthy instances lose some responses.
+        (40.0, 8, 0.15, 24, 6, 0.0),
+        (37.0, 9, 0.1, 24, 3, 0.0),
+        (37.0, 9, 0.1, 48, 3, 0.0),
+        # Few hosts serve the zone, and a minor route has idempotent requests.
+        (37.0, 9, 0.1, 5, 3, 0.0),
+        (37.0, 9, 0.1, 5, 3, 0.03),
     ],
 )
-def test_healthy_instances_keep_getting_requests(seed, rate_s, count, lost_share, hosts, slots):
-    simulation = ZoneSimulation(seed, rate_s, count, lost_share, hosts, slots)
+def test_healthy_instances_keep_getting_requests(
+    seed, rate_s, count, lost_share, hosts, slots, idempotent
+):
+    simulation = ZoneSimulation(seed, rate_s, count, lost_share, hosts, slots, idempotent)
     assert windows_below_floor(simulation) == []
 
 
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -6,6 +6,7 @@
 from anviltray.decisions.instances import InstanceDirectory
 from anviltray.decisions.placement import (
     HealthTracker,
+    IdempotentShare,
     Locality,
     Placement,
     UnservedShare,
@@ -51,6 +52,7 @@
         )
         self.response_times = ResponseTimes()
         self.unserved = UnservedShare()
+        self.idempotent_share = IdempotentShare()
         self.configuration: RoutingConfiguration | None = None
         self.loaded = asyncio.Event()  # The configuration and the instances are known.
         self.shutting_down = False
@@ -61,7 +63,6 @@
         self.fleet_size = 1  # Known hosts of the fleet, including this one.
         self._slack = 0.0  # This host's part of the fleet's retry slack.
         self._slack_enabled = False
-        self._idempotent_services: set[str] = set()
         self._service_choices: dict[str, WeightedChoice] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -72,12 +73,6 @@
         self._routes = PrefixIndex(configuration.routes)
         previous = self._service_choices
         self._service_choices = {}
-        self._idempotent_services = {
-            destination.service
-            for route in configuration.routes
-            if route.idempotent
-            for destination in route.destinations
-        }
         for route in configuration.routes:
             choice = previous.get(route.name)
             if choice is None or choice.destinations != route.destinations:
@@ -85,6 +80,7 @@
             self._service_choices[route.name] = choice
         self.response_times.keep_only(frozenset(self._service_choices))
         self.unserved.keep_only(configuration.services)
+        self.idempotent_share.keep_only(configuration.services)
 
     def _divide_connections(self) -> None:
         """Divides the connections that an instance accepts among the hosts.
@@ -149,10 +145,6 @@
         for budget in self._budgets.values():
             budget.slack = self._usable_slack
 
-    def has_idempotent_routes(self, service: str) -> bool:
-        """Returns whether idempotent requests are routed to a service."""
-        return service in self._idempotent_services
-
     def can_explore(self, service: str) -> bool:
         """Returns whether this host's budget allows exploring and a retry if that fails."""
         return self.retry_budget(service).remaining(self.clock.now_s()) >= _EXPLORATION_RESERVE
