--- a/anviltray/callers/_server.py
+++ b/anviltray/callers/_server.py
@@ -17,6 +17,7 @@
 # Interval between checks of the time limits of connections.
 CHECK_INTERVAL_S = 0.25
 BACKLOG = 2048
+_HEADERS_INTERVAL_S = 1.0  # The Date header has a resolution of a second.
 
 
 class Application(Protocol):
@@ -30,13 +31,29 @@
 
 
 class _Server(uvicorn.Server):
-    """uvicorn's server without its signal handlers; the node handles signals itself."""
+    """uvicorn's server without its signal handlers and its ten wake-ups a second.
+
+    The node handles signals itself, and ends the server by `request_exit`.
+    """
 
     def __init__(
         self, config: uvicorn.Config, on_started: Callable[[], None] = lambda: None
     ) -> None:
         super().__init__(config)
         self._on_started = on_started
+        self._exit_requested = asyncio.Event()
+
+    def request_exit(self) -> None:
+        """Ends `serve` after a graceful shutdown."""
+        self.should_exit = True
+        self._exit_requested.set()
+
+    async def main_loop(self) -> None:
+        """Keeps the default headers current until the end is requested."""
+        while not await self.on_tick(0):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_HEADERS_INTERVAL_S):
+                    await self._exit_requested.wait()
 
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
         """Starts accepting connections, then calls `on_started`."""
@@ -104,7 +121,7 @@
     stopping = asyncio.create_task(stop.wait())
     try:
         await asyncio.wait({serving, stopping}, return_when=asyncio.FIRST_COMPLETED)
-        server.should_exit = True
+        server.request_exit()
         await serving
     finally:
         for task in (checks, stopping):
@@ -126,12 +143,13 @@
         lifespan="off",
         log_config=None,
         access_log=False,
+        proxy_headers=False,
         server_header=False,
     )
     server = _Server(config)
     serving = asyncio.create_task(server.serve(list(listeners)))
     await stop.wait()
-    server.should_exit = True
+    server.request_exit()
     await serving
 
 
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -250,7 +250,7 @@
     async def _follow_configuration(self) -> None:
         while True:
             if self._read_interval_s() > READ_INTERVAL_S:
-                await asyncio.sleep(_POLL_INTERVAL_S)
+                await asyncio.sleep(_READ_ORDER_LIFETIME_S)
                 self._configuration_offset = _UNKNOWN
                 continue
             try:
