--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -123,7 +123,6 @@
         self.exchange.register_handler(ZoneBeliefs, self._handle_beliefs)
         self.exchange.register_handler(ZoneLoads, self._handle_loads)
         self.exchange.subscribe_to_lost_hosts(self.state.health_tracker.remove_peer)
-        self.exchange.subscribe_to_lost_hosts(self._serving_zone.remove_host)
         self.follower.subscribe_to_configurations(self._apply_configuration)
         self.follower.subscribe_to_load(self.state.loaded.set)
 
--- a/anviltray/edge/_serving.py
+++ b/anviltray/edge/_serving.py
@@ -75,13 +75,11 @@
         """Records that another host has sent observations, so it has callers."""
         self._observed_s[host] = self._loop.time()
 
-    def remove_host(self, host: str) -> None:
-        """Forgets a host that has stopped or is unreachable."""
-        self._observed_s.pop(host, None)
-
     def receivers(self) -> frozenset[str]:
-        """Returns the other hosts that need to know about instances."""
-        now_s = self._loop.time()
-        active = (host for host, at_s in self._observed_s.items() if now_s - at_s < _ACTIVE_S)
-        others = {*self.hosts(own_ready=False), *active}
-        return frozenset(others - {self._state.settings.address})
+        """Returns the other live hosts that need to know about instances."""
+        oldest_s = self._loop.time() - _ACTIVE_S
+        self._observed_s = {
+            host: at_s for host, at_s in self._observed_s.items() if at_s > oldest_s
+        }
+        live = {host.beacon.host for host in self._exchange.alive()}
+        return frozenset(live & {*self.hosts(own_ready=False), *self._observed_s})
--- a/anviltray/edge/tests/test_serving.py
+++ b/anviltray/edge/tests/test_serving.py
@@ -79,3 +79,22 @@
             assert all(len(table.alive()) == hosts - 1 for table in tables)
 
     asyncio.run(main())
+
+
+def test_observations_go_to_serving_hosts_and_to_hosts_that_have_callers(tmp_path):
+    async def main():
+        async with Fleet(tmp_path, [respond()], HOSTS) as fleet:
+            first = fleet.hosts[0]
+            await fleet.until(lambda: len(first.exchange.alive()) == HOSTS - 1)
+            zone = first._serving_zone
+            serving = set(zone.hosts(own_ready=True))
+            others = {host.settings.address for host in fleet.hosts} - serving
+            others.discard(first.settings.address)
+            assert others
+            for address in (*others, fleet.address(99)):
+                zone.on_observations(address)
+            assert others <= zone.receivers()
+            # Not known by a beacon, so it is no host of the zone.
+            assert fleet.address(99) not in zone.receivers()
+
+    asyncio.run(main())
