--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -48,6 +48,9 @@
 _MAX_LOAD_WAIT_S = 1.0
 _LOAD_WAIT_SHARE = 1 / 3
 _MAX_LOAD_WAITERS = 200  # Requests that wait at the same time; more are rejected at once.
+# A host without its state after this time reaches neither the store nor a peer, so it rejects
+# requests at once.
+_LOAD_GRACE_S = 3.0
 _DEFAULT_RETRY_AFTER_S = 0.4  # Retry-After if placement gives no estimate.
 
 _NOT_READY = Problem(
@@ -131,6 +134,7 @@
         self._loop = asyncio.get_running_loop()
         self._caller_headers = caller_headers
         self._load_waiters = 0
+        self._load_due_s = self._loop.time() + _LOAD_GRACE_S
         self.set_limits(settings)
         self._instance_header = instance_header
         self._seal_name = seal_header.lower().encode()
@@ -207,7 +211,7 @@
 
     async def _wait_for_load(self, head: RequestHead) -> None:
         """Waits until the host has loaded its state, at most for a part of the request's time."""
-        if self._load_waiters >= _MAX_LOAD_WAITERS:
+        if self._load_waiters >= _MAX_LOAD_WAITERS or self._loop.time() > self._load_due_s:
             return
         self._load_waiters += 1
         self._metrics.count("load_waits")
