--- a/anviltray/messages/_fields.py
+++ b/anviltray/messages/_fields.py
@@ -8,7 +8,9 @@
 
 _Item = TypeVar("_Item")
 
-_INT_LIMIT = 2**63  # CBOR has larger integers, which cannot be converted to a float.
+# Range of signed and unsigned integers of 64 bits. CBOR has larger ones, which cannot be converted
+# to a float.
+_MIN_INT, _MAX_INT = -(2**63), 2**64 - 1
 
 
 class MessageError(ValueError):
@@ -26,7 +28,7 @@
     """Returns an integer of 64 bits; a bool is rejected."""
     if type(value) is not int:
         raise MessageError(f"expected an integer, found {type(value).__name__}")
-    if not -_INT_LIMIT <= value < _INT_LIMIT:
+    if not _MIN_INT <= value <= _MAX_INT:
         raise MessageError("expected an integer of 64 bits")
     return value
 
--- a/anviltray/messages/tests/test_codec.py
+++ b/anviltray/messages/tests/test_codec.py
@@ -26,6 +26,12 @@
     assert decode_message(encode_message(message)) == message
 
 
+@pytest.mark.parametrize("sequence", [-(2**63), 0, 2**63, 2**64 - 1])
+def test_integers_of_64_bits_with_and_without_a_sign(sequence):
+    message = Ping(sequence=sequence, target="n1")
+    assert decode_message(encode_message(message)) == message
+
+
 @pytest.mark.parametrize(
     "data",
     [
@@ -39,6 +45,9 @@
         cbor2.dumps([3, "1", "n1"]),
         cbor2.dumps([3, True, "n1"]),
         cbor2.dumps([3, 1, "n1", 0]),
+        # Integers of more than 64 bits.
+        cbor2.dumps([3, 2**64, "n1"]),
+        cbor2.dumps([3, -(2**63) - 1, "n1"]),
     ],
 )
 def test_malformed_bytes_are_rejected(data):
