--- a/anviltray/edge/__main__.py
+++ b/anviltray/edge/__main__.py
@@ -2,7 +2,7 @@
 
 import gc
 
-# Imports create many objects and no garbage; collections would take a tenth of their time.
+# Imports create many objects and hardly any garbage, so collections would find nothing.
 gc.disable()
 
 from anviltray.edge import main  # noqa: E402
--- a/anviltray/zone/tests/test_follower.py
+++ b/anviltray/zone/tests/test_follower.py
@@ -24,7 +24,7 @@
 
     def __init__(self, fleet, number):
         self.fleet = fleet
-        self.address = f"127.0.3.{number}"
+        self.address = f"{fleet.network}.{number}"
         self.incarnation = random.getrandbits(60)
         self.sequence = 0
         locality = HostLocality(self.address, "suva")
@@ -80,6 +80,8 @@
     def __init__(self, count):
         self.store = StoreStandin()
         self.count = count
+        # All hosts use the same port, so test runs at the same time need other addresses.
+        self.network = f"127.{random.randint(4, 250)}.{random.randint(0, 250)}"
 
     def host(self, address):
         return next(host for host in self.hosts if host.address == address)
@@ -216,7 +218,7 @@
         late = Host(fleet, 20)
         fleet.hosts.append(late)
         await late.start()
-        late.exchange.request_hosts(("127.0.3.1",))
+        late.exchange.request_hosts((fleet.hosts[0].address,))
         await fleet.until(lambda host: host.usable() == ["i-1"] and host.versions == [7], 5.0)
 
     run(test, count=3)
