Read the store if the peer that announced a newer state does not respond

Cause: a host that hears of a newer version fetched it from the peer that announced it and read nothing else meanwhile. If the zone's reader loses power right after its beacon, or the host can hear its peers but not reach them, each fetch takes the timeout of 1 s, a second one follows while the beacon is valid, and the failover to the store waits for both. Change: catching up is a task of its own, which does not delay reads of the store, and a host that is still behind 0.4 s after it began to fetch reads the store itself. The log line of a new configuration says how long ago a peer had announced it.

--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -52,6 +52,9 @@
 # serve it as well.
 _INSTANCES_FETCH_DELAY_S = 0.15
 _CONFIGURATION_FETCH_JITTER_S = 0.3
+# A host that is still behind this long after it began to fetch a snapshot reads the store itself.
+# The peer may be lost, and the time in which a configuration must be in force is 2 s.
+_PEER_PATIENCE_S = 0.4
 _UNKNOWN = -1
 # If the recovery times that two hosts report differ by less than this, they refer to the same
 # recovery of the store.
@@ -105,8 +108,8 @@
         self._configuration_offset = _UNKNOWN
         self._recovered_s = float("-inf")  # Time when the last outage of the store ended.
         self._store_lost = False
-        self._behind_since: float | None = None
-        self._configuration_fetch_delay_s = 0.0  # Delay with jitter, drawn when falling behind.
+        self._behind = asyncio.Event()  # A peer has announced a newer state.
+        self._behind_since_s = float("-inf")  # Time of that announcement.
         self._configuration_handlers: list[Callable[[RoutingConfiguration], None]] = []
         self._load_handlers: list[Callable[[], None]] = []
         self.configuration: RoutingConfiguration | None = None
@@ -161,7 +164,12 @@
             while not joining.done() and not self._exchange.alive():
                 await asyncio.wait({joining}, timeout=_POLL_INTERVAL_S)
             await self._load_initial_state()
-            await asyncio.gather(joining, self._follow_instances(), self._follow_configuration())
+            await asyncio.gather(
+                joining,
+                self._follow_instances(),
+                self._follow_configuration(),
+                self._follow_peers(),
+            )
         finally:
             joining.cancel()
 
@@ -231,7 +239,6 @@
             now_s = self._loop.time()
             for key in self._directory.expire(now_s):
                 _log.info("instance {} removed: not renewed after the store outage", key)
-            await self._catch_up(now_s)
             self._check_outage(now_s)
             interval_s = self._read_interval_s()
             if self.read_age_s() < interval_s or now_s < pause_until_s:
@@ -378,35 +385,69 @@
             beacon.configuration_version > self.version
             or beacon.instances_offset > self.instances_offset
         )
-        if behind and self._behind_since is None:
-            self._behind_since = now_s
-            self._configuration_fetch_delay_s = _CONFIGURATION_FETCH_JITTER_S * self._rng.random()
+        if behind and not self._behind.is_set():
+            self._behind_since_s = now_s
+            self._behind.set()
         elif not behind and beacon.instances_offset == self.instances_offset:
             # The read counts, because this host has its result.
             # A read in the future would keep the zone from reading.
             self.last_read_s = max(self.last_read_s, now_s - max(0.0, beacon.read_age_s))
 
-    async def _catch_up(self, now_s: float) -> None:
-        if self._behind_since is None:
-            return
-        ahead = [
+    async def _follow_peers(self) -> None:
+        """Catches up with peers that have announced a newer state, until cancelled."""
+        while True:
+            await self._behind.wait()
+            if any(beacon.configuration_version > self.version for beacon in self._ahead()):
+                await asyncio.sleep(_CONFIGURATION_FETCH_JITTER_S * self._rng.random())
+            else:
+                await asyncio.sleep(_INSTANCES_FETCH_DELAY_S)
+            await self._catch_up()
+            if not self._ahead():
+                self._behind.clear()
+
+    def _ahead(self) -> list[HostBeacon]:
+        """Returns the beacons of the live hosts that have announced a newer state."""
+        return [
             host.beacon
             for host in self._exchange.alive()
             if host.beacon.configuration_version > self.version
             or host.beacon.instances_offset > self.instances_offset
         ]
-        if not ahead:
-            self._behind_since = None
-            return
-        newest = max(beacon.configuration_version for beacon in ahead)
-        delay_s = (
-            self._configuration_fetch_delay_s if newest > self.version else _INSTANCES_FETCH_DELAY_S
-        )
-        if now_s - self._behind_since < delay_s:
-            return
-        newest_beacons = [beacon for beacon in ahead if beacon.configuration_version == newest]
-        self._behind_since = now_s
-        await self._load_snapshot_from(self._rng.choice(newest_beacons).host)
+
+    async def _catch_up(self) -> None:
+        """Fetches a newer state from peers, and from the store if no peer sends it soon."""
+        fetching = asyncio.create_task(self._fetch_from_peers())
+        try:
+            await asyncio.wait({fetching}, timeout=_PEER_PATIENCE_S)
+            pause_s = _RETRY_BACKOFF_S[0]
+            while self._ahead():
+                self.counters["late_peers"] += 1
+                try:
+                    await self._read_announced()
+                except PlatformError as error:
+                    self.counters["failed_reads"] += 1
+                    _log.warning("reading what a peer has announced failed: {}", error)
+                await asyncio.wait({fetching}, timeout=pause_s * (1 + self._rng.random()))
+                pause_s = min(2 * pause_s, _RETRY_BACKOFF_S[1])
+        finally:
+            fetching.cancel()
+            await asyncio.gather(fetching, return_exceptions=True)
+
+    async def _read_announced(self) -> None:
+        """Reads from the store what peers have announced; raises PlatformError."""
+        if any(beacon.configuration_version > self.version for beacon in self._ahead()):
+            await self._reload_configuration()
+        if any(beacon.instances_offset > self.instances_offset for beacon in self._ahead()):
+            await self._read_instances()
+
+    async def _fetch_from_peers(self) -> None:
+        """Fetches snapshots until no peer is ahead."""
+        while ahead := self._ahead():
+            newest = max(beacon.configuration_version for beacon in ahead)
+            newest_beacons = [beacon for beacon in ahead if beacon.configuration_version == newest]
+            await self._load_snapshot_from(self._rng.choice(newest_beacons).host)
+            if self._ahead():
+                await asyncio.sleep(_POLL_INTERVAL_S)
 
     async def _load_snapshot_from(self, host: str) -> bool:
         self.counters["snapshots"] += 1
@@ -424,6 +465,12 @@
             self.last_read_s = max(self.last_read_s, self._loop.time() - read_age_s)
         return self.loaded
 
+    def _announcement_age(self) -> dict[str, float]:
+        """Returns, for the log, how long ago a peer announced the state; empty if none did."""
+        if not self._behind.is_set():
+            return {}
+        return {"announced_s": round(self._loop.time() - self._behind_since_s, 2)}
+
     # State
 
     def _apply_configuration(self, payload: bytes, source: str) -> None:
@@ -436,7 +483,11 @@
         if configuration.version <= self.version:
             return
         _log.info(
-            "configuration {} replaces {}, from {}", configuration.version, self.version, source
+            "configuration {} replaces {}, from {}",
+            configuration.version,
+            self.version,
+            source,
+            extra=self._announcement_age(),
         )
         self.configuration = configuration
         self._configuration_record = payload
--- /dev/null
+++ b/anviltray/zone/tests/test_lost_peers.py
@@ -0,0 +1,133 @@
+"""Guards against configurations that arrive late because a host of the zone has been lost.
+
+A lost host sends nothing and does not respond, as after a power failure or behind a silent cut.
+"""
+
+import asyncio
+
+import pytest
+
+from anviltray.decisions.following import READ_INTERVAL_S
+from anviltray.platform.tests.documents import configuration
+from anviltray.zone import SnapshotUnavailable
+from anviltray.zone.tests.test_follower import CONFIGURATION_S, Fleet
+
+FETCH_TIMEOUT_S = 1.0  # Time limit of a fetch from a host that does not respond.
+HOSTS = 12
+
+
+class LossyFleet(Fleet):
+    """A fleet whose hosts can be lost or cut off from each other."""
+
+    def __init__(self, count):
+        super().__init__(count)
+        self.unreachable = set()  # Addresses of hosts that respond to no other host.
+
+    async def __aenter__(self):
+        await super().__aenter__()
+        for host in self.hosts:
+            host.follower._fetch_snapshot = self.fetcher(host.address)
+        return self
+
+    def fetcher(self, receiver):
+        async def fetch(sender):
+            if {sender, receiver} & self.unreachable:
+                await asyncio.sleep(FETCH_TIMEOUT_S)
+                raise SnapshotUnavailable(f"{sender}: no response")
+            return self.host(sender).follower.snapshot()
+
+        return fetch
+
+    def readers(self):
+        """Returns the hosts in the order in which they read the store."""
+        return sorted(self.hosts, key=lambda host: host.follower._read_interval_s())
+
+    async def lose(self, host):
+        """Ends a host without a sign to the others."""
+        self.unreachable.add(host.address)
+        self.hosts = [other for other in self.hosts if other is not host]
+        await host.stop()
+
+    def cut(self, host, *, receives):
+        """Cuts a host off from the other hosts, but not from the store."""
+        self.unreachable.add(host.address)
+        host.exchange._send_data = lambda address, data: None
+        if not receives:
+            host.exchange.datagram_received = lambda data, address: None
+
+    def append(self, version):
+        self.store.append_record("keyed.op", "config", configuration(version=f"r{version}"))
+
+    async def in_force(self, version):
+        return await self.until(lambda host: host.versions[-1] == version, 3 * CONFIGURATION_S)
+
+
+def measure(scenario):
+    """Returns the time in seconds from an acknowledged version until all hosts have applied it."""
+
+    async def main():
+        async with LossyFleet(HOSTS) as fleet:
+            await asyncio.sleep(1.5)
+            reader = fleet.readers()[0]
+            assert reader.follower._read_interval_s() == READ_INTERVAL_S
+            return await asyncio.wait_for(scenario(fleet, reader), 40)
+
+    return asyncio.run(main())
+
+
+async def announcer_lost(fleet, reader):
+    fleet.append(9)
+    while reader.versions[-1] != 9:  # noqa: ASYNC110
+        await asyncio.sleep(0.001)
+    await fleet.lose(reader)
+    return await fleet.in_force(9)
+
+
+async def reader_lost(fleet, reader):
+    await fleet.lose(reader)
+    fleet.append(9)
+    return await fleet.in_force(9)
+
+
+async def two_readers_lost(fleet, reader):
+    second = fleet.readers()[1]
+    await fleet.lose(reader)
+    await fleet.lose(second)
+    fleet.append(9)
+    return await fleet.in_force(9)
+
+
+async def host_cut_off(fleet, reader):
+    fleet.cut(fleet.readers()[-1], receives=False)
+    fleet.append(9)
+    return await fleet.in_force(9)
+
+
+async def host_that_only_receives(fleet, reader):
+    fleet.cut(fleet.readers()[-1], receives=True)
+    fleet.append(9)
+    return await fleet.in_force(9)
+
+
+async def host_cut_off_after_the_announcement(fleet, reader):
+    host = fleet.readers()[-1]
+    fleet.append(9)
+    while not host.follower._behind.is_set():  # noqa: ASYNC110
+        await asyncio.sleep(0.001)
+    fleet.cut(host, receives=False)
+    return await fleet.in_force(9)
+
+
+@pytest.mark.parametrize(
+    "scenario",
+    [
+        announcer_lost,
+        reader_lost,
+        two_readers_lost,
+        host_cut_off,
+        host_that_only_receives,
+        host_cut_off_after_the_announcement,
+    ],
+)
+def test_configuration_is_in_force_in_time(scenario):
+    assert measure(scenario) <= CONFIGURATION_S
