Explore with requests that must not be repeated if no other did for 1.3 s

Cause: requests that must not be repeated explored only on hosts where less than 10 % of the requests to the service were idempotent. Evidence: the floor replay, which had left idempotent requests out, now lets them explore as the dispatcher does. Ruled out: callers that leave at their deadline and are not counted as unserved (1 of 170). Change: in a degraded service an idempotent request explores after 1.2 s as before and any other one after 1.3 s, so the others explore just what is left.

--- a/anviltray/decisions/placement/__init__.py
+++ b/anviltray/decisions/placement/__init__.py
@@ -6,7 +6,6 @@
     HealthTracker,
     InstanceHealth,
 )
-from anviltray.decisions.placement._explorers import IdempotentShare
 from anviltray.decisions.placement._placement import (
     Locality,
     Placed,
@@ -21,7 +20,6 @@
     "ACCEPTED_AFTER_S",
     "ACKNOWLEDGEMENT_TIMEOUT_S",
     "HealthTracker",
-    "IdempotentShare",
     "InstanceHealth",
     "Locality",
     "Placed",
--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -31,15 +31,19 @@
 # which there was no evidence and no exploration within the interval.
 _EXPLORE_MIN_PROBABILITY = 0.15
 _EXPLORE_INTERVAL_S = 1.6
-# In services with few idempotent requests, other requests explore after this interval. The average
-# unhealthy phase is over by then, and without exploration the instance would stay out of use.
-_NON_RETRYABLE_EXPLORE_INTERVAL_S = 8.0
+# Requests that must not be repeated explore only what the idempotent ones have not explored for
+# this long. The average unhealthy phase is over by then, and without exploration the instance
+# would stay out of use.
+_UNREPEATABLE_EXPLORE_INTERVAL_S = 8.0
 # Above this share of unserved requests, exploration happens after a shorter interval, does not
 # depend on the retry budget and includes instances that are just less attractive than others. Most
 # healthy instances must be in use within two seconds when 10 % of the requests of a service are not
 # served; the share is an average over several seconds, so it crosses this threshold first.
 _DEGRADED_UNSERVED_SHARE = 0.07
 _DEGRADED_EXPLORE_INTERVAL_S = 1.2
+# The same for requests that must not be repeated. It is longer, so that idempotent requests explore
+# first where there are enough of them.
+_DEGRADED_UNREPEATABLE_INTERVAL_S = 1.3
 # Share of the requests that explore in this case. All hosts see at the same time that an instance
 # is due, and what the first request finds out takes a moment to reach the others.
 _DEGRADED_EXPLORE_SHARE = 0.5
@@ -76,7 +80,7 @@
     remaining_s: float  # Time until the deadline of the caller.
     target_s: float  # Target latency of the route.
     exclude: frozenset[str] = frozenset()  # Instances that were tried before.
-    no_other_explorers: bool = False  # The service gets too few idempotent requests to explore.
+    first_attempt: bool = False  # Whether it has not been sent to any instance yet.
     unserved_share: float = 0.0  # Share of the service's recent requests that were not served.
     unrepeatable: bool = False  # Whether it must not run twice, whatever attempts are left.
 
@@ -182,8 +186,7 @@
         )
         expected_s = self._expected_s(request.service, best.load, allowed_s)
         if expected_s > allowed_s:
-            forced = _may_force_exploration(request)
-            exploration = _Exploration(_SHED_EXPLORE_INTERVAL_S) if forced else _Exploration()
+            exploration = _Exploration(_forced_interval_s(request, _SHED_EXPLORE_INTERVAL_S))
             explored = self._explore(now_s, request, tiers[0], exploration)
             if explored is not None:
                 return _placed(now_s, explored, explores=True)
@@ -262,19 +265,17 @@
     def _exploration(self, request: PlacementRequest) -> _Exploration:
         """Returns which instances the request may explore in place of the best one."""
         degraded = request.unserved_share > _DEGRADED_UNSERVED_SHARE
-        if (
-            degraded
-            and _may_force_exploration(request)
-            and self._rng.random() < _DEGRADED_EXPLORE_SHARE
-        ):
+        if degraded and self._rng.random() < _DEGRADED_EXPLORE_SHARE:
             interval_s = (
                 _SHED_EXPLORE_INTERVAL_S if request.may_explore else _DEGRADED_EXPLORE_INTERVAL_S
             )
-            return _Exploration(interval_s, 0.0, _DEGRADED_MAX_ERROR_PROBABILITY)
+            interval_s = _forced_interval_s(request, interval_s)
+            if interval_s < math.inf:
+                return _Exploration(interval_s, 0.0, _DEGRADED_MAX_ERROR_PROBABILITY)
         if request.may_explore:
             return _Exploration(_EXPLORE_INTERVAL_S)
-        if request.no_other_explorers:
-            return _Exploration(_NON_RETRYABLE_EXPLORE_INTERVAL_S)
+        if request.unrepeatable and request.first_attempt:
+            return _Exploration(_UNREPEATABLE_EXPLORE_INTERVAL_S)
         return _Exploration()
 
     def _explore(
@@ -323,13 +324,17 @@
         return delay_s * (1 + _RETRY_JITTER * self._rng.random())
 
 
-def _may_force_exploration(request: PlacementRequest) -> bool:
-    """Returns whether a request may explore regardless of the retry budget.
+def _forced_interval_s(request: PlacementRequest, interval_s: float) -> float:
+    """Returns the interval of exploration regardless of the retry budget; infinite if not allowed.
 
-    A request that is not retryable may do so only if the service has no others: its caller can
-    retry after a shed request, but not after a broken exchange.
+    `interval_s` is that of a retryable request. One that must not be repeated waits for those: its
+    caller can retry after a shed request, but not after a broken exchange.
     """
-    return request.retryable or request.no_other_explorers
+    if request.retryable:
+        return interval_s
+    if request.unrepeatable and request.first_attempt:
+        return max(interval_s, _DEGRADED_UNREPEATABLE_INTERVAL_S)
+    return math.inf
 
 
 def _failure_cost(request: PlacementRequest) -> float:
--- a/anviltray/decisions/placement/tests/replay.py
+++ b/anviltray/decisions/placement/tests/replay.py
@@ -6,7 +6,6 @@
 from anviltray.decisions import ExchangeOutcome
 from anviltray.decisions.placement import (
     ACCEPTED_AFTER_S,
-    IdempotentShare,
     Shed,
     UnservedShare,
 )
@@ -41,7 +40,6 @@
         self.rng = random.Random(seed)
         self.hosts = [Host(seed * 100 + number) for number in range(hosts)]
         self.unserved = [UnservedShare() for _ in self.hosts]
-        self.idempotent_share = [IdempotentShare() for _ in self.hosts]
         self.idempotent = idempotent
         self.instances = [instance(number, slots=slots) for number in range(count)]
         self.phases = {item.id: _phases(self.rng) for item in self.instances}
@@ -65,12 +63,12 @@
     def arrive(self, now_s):
         number = self.rng.randrange(len(self.hosts))
         host, unserved = self.hosts[number], self.unserved[number]
-        # Idempotent requests differ from the others only in that hosts leave exploration to them.
-        share = self.idempotent_share[number]
-        share.on_request(now_s, "s", self.idempotent > 0 and self.rng.random() < self.idempotent)
-        placement_request = request(target_s=TARGET_S, priority=1)._replace(
-            no_other_explorers=not share.has_explorers("s"),
+        # The retry budget is used up, so idempotent requests explore only in a degraded service.
+        idempotent = self.idempotent > 0 and self.rng.random() < self.idempotent
+        placement_request = request(target_s=TARGET_S, priority=1, retryable=idempotent)._replace(
+            first_attempt=True,
             unserved_share=unserved.share(now_s, "s"),
+            unrepeatable=not idempotent,
         )
         placed = host.choose(now_s, placement_request, self.instances)
         if isinstance(placed, Shed):
--- a/anviltray/decisions/placement/tests/test_floor.py
+++ b/anviltray/decisions/placement/tests/test_floor.py
@@ -53,9 +53,13 @@
         (40.0, 8, 0.15, 24, 6, 0.0),
         (37.0, 9, 0.1, 24, 3, 0.0),
         (37.0, 9, 0.1, 48, 3, 0.0),
-        # Few hosts serve the zone, and a minor route has idempotent requests.
+        # Few hosts serve the zone, and minor routes have idempotent requests.
         (37.0, 9, 0.1, 5, 3, 0.0),
         (37.0, 9, 0.1, 5, 3, 0.03),
+        (40.0, 8, 0.15, 7, 4, 0.05),
+        (40.0, 8, 0.15, 7, 4, 0.12),
+        (40.0, 8, 0.15, 7, 4, 0.2),
+        (40.0, 8, 0.15, 7, 4, 0.4),
     ],
 )
 def test_healthy_instances_keep_getting_requests(
@@ -68,7 +72,7 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_hosts_that_know_nothing_start_with_different_instances(seed):
     instances = [instance(number) for number in range(9)]
-    first = request()._replace(no_other_explorers=True)
+    first = request()._replace(unrepeatable=True, first_attempt=True)
     chosen = {
         Host(seed * 100 + number).choose(0.0, first, instances).instance.id for number in range(23)
     }
--- a/anviltray/decisions/placement/tests/test_placement.py
+++ b/anviltray/decisions/placement/tests/test_placement.py
@@ -121,11 +121,11 @@
     assert again.instance.id == "i-2"  # One exploration per interval.
 
 
-def test_without_idempotent_requests_others_explore_after_the_unhealthy_phase():
+def test_unrepeatable_requests_explore_after_the_unhealthy_phase():
     host = Host()
     host.observe(1.0, "i-1", True)
     both = [instance(1), instance(2)]
-    placement_request = request()._replace(no_other_explorers=True)
+    placement_request = request()._replace(unrepeatable=True, first_attempt=True)
     for now_s, expected in [(2.0, "i-2"), (8.5, "i-2"), (10.0, "i-1"), (10.1, "i-2")]:
         host.observe(now_s, "i-2", False)
         assert host.choose(now_s, placement_request, both).instance.id == expected, now_s
@@ -174,20 +174,30 @@
     assert shed_priorities == shed
 
 
+UNREPEATABLE = {"unrepeatable": True, "first_attempt": True}
+
+
 @pytest.mark.parametrize(
-    ("changes", "expected"),
+    ("changes", "evidence_age_s", "expected"),
     [
-        ({"retryable": True}, "i-1"),
-        ({"no_other_explorers": True}, "i-1"),
-        # The request is not retryable, and the service has idempotent requests that explore.
-        ({}, None),
-        ({"unserved_share": 0.3}, None),
-        ({"retryable": True, "unserved_share": 0.3}, "i-1"),
+        ({"retryable": True}, 1.0, "i-1"),
+        # Idempotent requests come first; without them, the others explore.
+        (UNREPEATABLE, 1.0, None),
+        (UNREPEATABLE, 1.6, "i-1"),
+        (UNREPEATABLE | {"unserved_share": 0.3}, 1.0, None),
+        (UNREPEATABLE | {"unserved_share": 0.3}, 1.6, "i-1"),
+        # An idempotent request that has no attempts left, and one of unknown effect.
+        ({}, 2.0, None),
+        ({"unserved_share": 0.3}, 2.0, None),
+        (UNREPEATABLE | {"first_attempt": False}, 2.0, None),
+        ({"retryable": True, "unserved_share": 0.3}, 1.0, "i-1"),
     ],
 )
-def test_a_request_that_would_be_shed_explores_unless_it_would_be_lost(changes, expected):
+def test_a_request_that_would_be_shed_explores_unless_it_would_be_lost(
+    changes, evidence_age_s, expected
+):
     host = Host()
-    host.observe(1.0, "i-1", True)
+    host.observe(3.0 - evidence_age_s, "i-1", True)
     host.observe(2.9, "i-2", False)
     host.load("i-2", 24)
     placement_request = request(target_s=0.8)._replace(**changes)
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -271,8 +271,6 @@
         """
         if not call.body.ended:
             await call.body.buffer_if_short()
-        now_s, route = self._loop.time(), call.route
-        self._state.idempotent_share.on_request(now_s, call.service, route.idempotent)
         self._state.retry_budget(call.service).record_request(self._state.clock.now_s())
         progress = _Progress()
         # Timers are late after a suspension of the host, so each attempt checks the time.
@@ -310,7 +308,7 @@
             remaining_s=call.remaining_s(),
             target_s=route.target_latency_s,
             exclude=progress.tried_instances,
-            no_other_explorers=first and not state.idempotent_share.has_explorers(call.service),
+            first_attempt=first,
             unserved_share=state.unserved.share(now_s, call.service),
             unrepeatable=not route.idempotent,
         )
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -6,7 +6,6 @@
 from anviltray.decisions.instances import InstanceDirectory
 from anviltray.decisions.placement import (
     HealthTracker,
-    IdempotentShare,
     Locality,
     Placement,
     UnservedShare,
@@ -52,7 +51,6 @@
         )
         self.response_times = ResponseTimes()
         self.unserved = UnservedShare()
-        self.idempotent_share = IdempotentShare()
         self.configuration: RoutingConfiguration | None = None
         self.loaded = asyncio.Event()  # The configuration and the instances are known.
         self.shutting_down = False
@@ -80,7 +78,6 @@
             self._service_choices[route.name] = choice
         self.response_times.keep_only(frozenset(self._service_choices))
         self.unserved.keep_only(configuration.services)
-        self.idempotent_share.keep_only(configuration.services)
 
     def _divide_connections(self) -> None:
         """Divides the connections that an instance accepts among the hosts.
