Count the time without requests from the latest request in a degraded service

Cause: exploration waits until the evidence about an instance is old, and a response is evidence. An instance whose last request took 0.4 s was due 0.4 s later than one that failed at once, so the time between two requests exceeded two seconds. Change: hosts keep the time of the latest request of the zone to each instance, from their own choices and the reports of their peers; a degraded service explores by it.

--- a/anviltray/decisions/placement/_evidence.py
+++ b/anviltray/decisions/placement/_evidence.py
@@ -75,6 +75,7 @@
         "_reset_belief",
         "last_explored_s",
         "last_local_evidence_s",
+        "last_used_s",
         "outstanding",
         "peer_outstanding",
         "unreported_error_evidence",
@@ -88,6 +89,7 @@
         self.peer_outstanding = 0  # Requests in flight from the other hosts of the zone.
         self.last_explored_s = float("-inf")  # Time of the last exploration request.
         self.last_local_evidence_s = float("-inf")  # Time of the latest local zone evidence.
+        self.last_used_s = float("-inf")  # Time of the latest request from any host of the zone.
         # Evidence of resets and of errors that the other hosts have not received yet.
         self.unreported_reset_evidence = 0.0  # Log-likelihood ratio.
         self.unreported_error_evidence = 0.0  # Log-likelihood ratio.
@@ -139,6 +141,9 @@
         """Adds evidence of resets and of errors as log-likelihood ratios."""
         if reset_evidence:
             self._reset_belief.add_evidence(now_s, reset_evidence)
+        if reset_evidence > 0:
+            # A reset follows at once, so a peer may never report the request as in flight.
+            self.last_used_s = now_s
         if error_evidence:
             self._error_belief.add_evidence(now_s, error_evidence)
         self.last_local_evidence_s = now_s
@@ -169,6 +174,10 @@
             self._outstanding_by_peer.pop(host, None)
         self.peer_outstanding = sum(self._outstanding_by_peer.values())
 
+    def peer_outstanding_of(self, host: str) -> int:
+        """Returns the requests in flight from another host."""
+        return self._outstanding_by_peer.get(host, 0)
+
     def set_zone(self, zone: str, outstanding: int) -> None:
         """Sets the requests in flight from another zone."""
         if outstanding > 0:
@@ -296,9 +305,11 @@
         """Merges the observations of another host of the zone."""
         for observation in observations:
             health = self.health(observation.instance)
-            health.set_peer(host, observation.outstanding)
             reset_evidence = observation.log_likelihood_ratio
             error_evidence = observation.error_log_likelihood_ratio
+            if observation.outstanding > health.peer_outstanding_of(host):
+                health.last_used_s = now_s
+            health.set_peer(host, observation.outstanding)
             if reset_evidence or error_evidence:
                 health.add_evidence(now_s, reset_evidence, error_evidence)
             if observation.refusals > 0:
--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -123,6 +123,9 @@
     interval_s: float = math.inf  # Minimum time since the latest evidence or exploration.
     min_probability: float = _EXPLORE_MIN_PROBABILITY  # Lowest probability to be unhealthy.
     max_error_probability: float = 1.0  # Highest probability of errors.
+    # Whether `interval_s` is the time since the latest request instead of the latest evidence,
+    # which may be a response to an earlier request.
+    unused: bool = False
 
 
 class _Candidate(NamedTuple):
@@ -271,7 +274,7 @@
             )
             interval_s = _forced_interval_s(request, interval_s)
             if interval_s < math.inf:
-                return _Exploration(interval_s, 0.0, _DEGRADED_MAX_ERROR_PROBABILITY)
+                return _Exploration(interval_s, 0.0, _DEGRADED_MAX_ERROR_PROBABILITY, unused=True)
         if request.may_explore:
             return _Exploration(_EXPLORE_INTERVAL_S)
         if request.unrepeatable and request.first_attempt:
@@ -293,7 +296,8 @@
         for instance, health in entries:
             if now_s - health.last_explored_s <= interval_s:
                 continue
-            if now_s - health.last_evidence_s <= interval_s or instance.id in request.exclude:
+            last_s = health.last_used_s if exploration.unused else health.last_evidence_s
+            if now_s - last_s <= interval_s or instance.id in request.exclude:
                 continue
             if (
                 health.unhealthy_probability(now_s) > exploration.min_probability
@@ -343,6 +347,7 @@
 
 def _placed(now_s: float, candidate: _Candidate, *, explores: bool) -> Placed:
     health = candidate.health
+    health.last_used_s = now_s
     return Placed(
         candidate.instance,
         candidate.load,
--- a/anviltray/decisions/placement/tests/test_placement.py
+++ b/anviltray/decisions/placement/tests/test_placement.py
@@ -206,6 +206,20 @@
     assert chosen == expected
 
 
+def test_a_degraded_service_uses_instances_again_whose_responses_are_recent():
+    host = Host()
+    both = [instance(1), instance(2)]
+    placement_request = request(retryable=True)._replace(unserved_share=0.3)
+    assert host.choose(1.0, placement_request, both[:1]).instance.id == "i-1"
+    # The response to the request of second 1 comes right before the next request.
+    host.load("i-1", 1)
+    host.tracker.on_request_ended(2.4, "i-1", "s", ExchangeOutcome.OK, 1.4)
+    host.observe(2.4, "i-2", False)
+    host.reusable.add(instance(2).address)
+    chosen = [host.choose(2.5, placement_request, both) for _ in range(8)]
+    assert [placed.instance.id for placed in chosen if placed.explores] == ["i-1"]
+
+
 @pytest.mark.parametrize("instances", [[], [instance(1)]])
 def test_no_candidates_left(instances):
     decision = Host().choose(1.0, request(exclude=["i-1"]), instances)
