Explore an instance again 4.5 s after its latest error

Cause: a degraded service did not explore an instance with a probability of errors above 0.15. After a fault it takes 11 s to decay to that, longer than the six seconds after which an instance counts as sound. Change: the age of the latest error or late response decides, not the probability alone.

--- a/anviltray/decisions/placement/_evidence.py
+++ b/anviltray/decisions/placement/_evidence.py
@@ -73,6 +73,7 @@
         "_refusal_load",
         "_refused_s",
         "_reset_belief",
+        "last_error_s",
         "last_explored_s",
         "last_local_evidence_s",
         "last_used_s",
@@ -87,6 +88,7 @@
     def __init__(self) -> None:
         self.outstanding = 0  # Requests in flight from this host.
         self.peer_outstanding = 0  # Requests in flight from the other hosts of the zone.
+        self.last_error_s = float("-inf")  # Time of the latest error or late response.
         self.last_explored_s = float("-inf")  # Time of the last exploration request.
         self.last_local_evidence_s = float("-inf")  # Time of the latest local zone evidence.
         self.last_used_s = float("-inf")  # Time of the latest request from any host of the zone.
@@ -146,6 +148,8 @@
             self.last_used_s = now_s
         if error_evidence:
             self._error_belief.add_evidence(now_s, error_evidence)
+        if error_evidence > 0:
+            self.last_error_s = now_s
         self.last_local_evidence_s = now_s
 
     def on_zone_belief(self, now_s: float, belief: InstanceBelief) -> None:
--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -47,9 +47,11 @@
 # Share of the requests that explore in this case. All hosts see at the same time that an instance
 # is due, and what the first request finds out takes a moment to reach the others.
 _DEGRADED_EXPLORE_SHARE = 0.5
-# Above this probability of errors, an instance is not explored sooner than usual: errors and late
-# responses are rarer than resets, so the belief is mostly right.
-_DEGRADED_MAX_ERROR_PROBABILITY = 0.15
+# An instance with a higher probability of errors is not explored sooner than this after its latest
+# error or late response: these are rarer than resets, so the belief is mostly right. It must be in
+# use again six seconds after its recovery.
+_MAX_ERROR_PROBABILITY = 0.15
+_ERROR_EXPLORE_INTERVAL_S = 4.5
 # A request that would be shed explores an uncertain instance instead after this interval.
 _SHED_EXPLORE_INTERVAL_S = 0.8
 # Maximum share of the remaining time that the expected response time may take, by priority. Under
@@ -122,7 +124,8 @@
 
     interval_s: float = math.inf  # Minimum time since the latest evidence or exploration.
     min_probability: float = _EXPLORE_MIN_PROBABILITY  # Lowest probability to be unhealthy.
-    max_error_probability: float = 1.0  # Highest probability of errors.
+    # Minimum time since the latest error or late response of an instance that probably errs.
+    error_interval_s: float = 0.0
     # Whether `interval_s` is the time since the latest request instead of the latest evidence,
     # which may be a response to an earlier request.
     unused: bool = False
@@ -274,7 +277,7 @@
             )
             interval_s = _forced_interval_s(request, interval_s)
             if interval_s < math.inf:
-                return _Exploration(interval_s, 0.0, _DEGRADED_MAX_ERROR_PROBABILITY, unused=True)
+                return _Exploration(interval_s, 0.0, _ERROR_EXPLORE_INTERVAL_S, unused=True)
         if request.may_explore:
             return _Exploration(_EXPLORE_INTERVAL_S)
         if request.unrepeatable and request.first_attempt:
@@ -299,9 +302,11 @@
             last_s = health.last_used_s if exploration.unused else health.last_evidence_s
             if now_s - last_s <= interval_s or instance.id in request.exclude:
                 continue
+            if health.unhealthy_probability(now_s) <= exploration.min_probability:
+                continue
             if (
-                health.unhealthy_probability(now_s) > exploration.min_probability
-                and health.error_probability(now_s) <= exploration.max_error_probability
+                now_s - health.last_error_s > exploration.error_interval_s
+                or health.error_probability(now_s) <= _MAX_ERROR_PROBABILITY
             ):
                 candidate = self._candidate(now_s, request, instance, health)
                 if candidate.load <= 1:
--- a/anviltray/decisions/placement/tests/test_floor.py
+++ b/anviltray/decisions/placement/tests/test_floor.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from anviltray.decisions import ExchangeOutcome
 from anviltray.decisions.placement.tests.replay import ZoneSimulation, is_healthy_from
 from anviltray.decisions.placement.tests.test_placement import DURATION_S, Host, instance, request
 
@@ -17,7 +18,33 @@
 UNSERVED_BOUNDS = (0.1, 0.5)
 
 
-def windows_below_floor(simulation):
+# Faults with errors, in which three of eight instances fail most requests; an instance counts as
+# healthy six seconds after the end of its fault.
+ERRING = frozenset({"i-1", "i-2", "i-3"})
+ERRING_S = ((5.0, 10.0), (20.0, 24.0))
+ERROR_SHARE = 0.9
+RECOVERY_S = 6.0
+
+
+class ErringFaults(ZoneSimulation):
+    """Adds faults with errors to the unhealthy phases."""
+
+    def outcome(self, now_s, key):
+        erring = any(start_s <= now_s < end_s for start_s, end_s in ERRING_S)
+        if key in ERRING and erring and self.rng.random() < ERROR_SHARE:
+            return ExchangeOutcome.SERVER_ERROR
+        return super().outcome(now_s, key)
+
+
+def has_recovered(key, start_s):
+    """Returns whether no fault of an instance ends up to `RECOVERY_S` before the window."""
+    return key not in ERRING or not any(
+        fault_start_s < start_s + WINDOW_S and start_s < fault_end_s + RECOVERY_S
+        for fault_start_s, fault_end_s in ERRING_S
+    )
+
+
+def windows_below_floor(simulation, recovered=lambda key, start_s: True):
     """Returns the starts of the windows in which too few healthy instances get requests."""
     starts_s = []
     for step in range(int(DURATION_S - WINDOW_S) * 10):
@@ -32,7 +59,10 @@
             if is_healthy_from(phases, start_s - 2.0)
         }
         healthy = {
-            key for key in healthy if is_healthy_from(simulation.phases[key], start_s + WINDOW_S)
+            key
+            for key in healthy
+            if is_healthy_from(simulation.phases[key], start_s + WINDOW_S)
+            and recovered(key, start_s)
         }
         used = {
             key for at_s, key, _ in simulation.sends if 0 <= at_s - start_s < WINDOW_S
@@ -69,6 +99,13 @@
     assert windows_below_floor(simulation) == []
 
 
+@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("idempotent", [0.0, 0.2])
+def test_instances_get_requests_again_after_an_error_phase(seed, idempotent):
+    simulation = ErringFaults(seed, 40.0, 8, 0.15, 7, 4, idempotent)
+    assert windows_below_floor(simulation, has_recovered) == []
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_hosts_that_know_nothing_start_with_different_instances(seed):
     instances = [instance(number) for number in range(9)]
