Keep the requests of the fleet within the limit that an instance names

Cause: the header was passed on and not read; hosts knew nothing of each other's rates. Change: a host reads the limit from each response, also from refusals and errors, and tells the hosts of its zone at once. Each host keeps a token bucket for the zone's requests to the instance, from which it also takes the requests that the others report. An instance without a token gets nothing, explored or not; without another instance the request is rejected at once. A response without the header lifts the limit.

--- a/anviltray/decisions/placement/__init__.py
+++ b/anviltray/decisions/placement/__init__.py
@@ -13,6 +13,7 @@
     PlacementRequest,
     Shed,
 )
+from anviltray.decisions.placement._rate_limits import RequestRateLimit, limit_share
 from anviltray.decisions.placement._shares import WeightedChoice
 from anviltray.decisions.placement._unserved import UnservedShare
 
@@ -25,7 +26,9 @@
     "Placed",
     "Placement",
     "PlacementRequest",
+    "RequestRateLimit",
     "Shed",
     "UnservedShare",
     "WeightedChoice",
+    "limit_share",
 ]
--- a/anviltray/decisions/placement/_evidence.py
+++ b/anviltray/decisions/placement/_evidence.py
@@ -8,11 +8,12 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from anviltray.decisions._types import ExchangeOutcome
 from anviltray.decisions.placement._belief import PhaseBelief, PhaseModel
+from anviltray.decisions.placement._rate_limits import RequestRateLimit
 from anviltray.messages import InstanceBelief, InstanceLoad, InstanceObservation
 
 # A request that is still in flight after this time was accepted: an unhealthy instance resets the
@@ -59,6 +60,7 @@
 # it sends reports twice a second, and none when there is nothing to report.
 _ZONE_REPORT_LIFETIME_S = 1.2
 
+_NO_CHANGE = -1.0  # Reported in place of a rate limit that has not changed.
 _LATENCY_WEIGHT = 0.1  # Weight of one sample in the moving average of a service's latency.
 _INITIAL_LATENCY_S = 0.4  # Assumed before the first response.
 
@@ -77,10 +79,14 @@
         "last_explored_s",
         "last_local_evidence_s",
         "last_used_s",
+        "limit_per_s",
         "outstanding",
         "peer_outstanding",
+        "rate_limit",
         "unreported_error_evidence",
+        "unreported_limit_per_s",
         "unreported_refusals",
+        "unreported_requests",
         "unreported_reset_evidence",
         "zone_outstanding",
     )
@@ -96,6 +102,11 @@
         self.unreported_reset_evidence = 0.0  # Log-likelihood ratio.
         self.unreported_error_evidence = 0.0  # Log-likelihood ratio.
         self.unreported_refusals = 0  # Refusals that the other hosts have not received yet.
+        self.unreported_requests = 0  # Requests that the other hosts have not heard of yet.
+        self.unreported_limit_per_s = _NO_CHANGE  # A limit that they have not received yet.
+        # Requests per second that the instance takes from the whole fleet, by its latest response.
+        self.limit_per_s = math.inf
+        self.rate_limit: RequestRateLimit | None = None  # Those that this zone may send.
         self._refusal_load = 0.0  # Requests per slot at the time `_refused_s`.
         self._refused_s = 0.0
         self._reset_belief = PhaseBelief(_RESET_PHASES)
@@ -203,7 +214,9 @@
 class HealthTracker:
     """Tracks the health of all instances from requests of this host and reports of its peers."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit_share: Callable[[str], float] = lambda instance: 1.0) -> None:
+        """`limit_share` returns the share of an instance's rate limit that this zone may use."""
+        self._limit_share = limit_share
         self._instances: dict[str, InstanceHealth] = {}
         self._changed: set[str] = set()
         self._mean_latencies_s: dict[str, float] = {}
@@ -223,9 +236,13 @@
         """Returns the mean latency of the responses of a service."""
         return self._mean_latencies_s.get(service, _INITIAL_LATENCY_S)
 
-    def on_request_started(self, instance: str) -> None:
+    def on_request_started(self, now_s: float, instance: str) -> None:
         """Records that a request was sent."""
-        self.health(instance).outstanding += 1
+        health = self.health(instance)
+        health.outstanding += 1
+        health.unreported_requests += 1
+        if health.rate_limit is not None:
+            health.rate_limit.on_requests(now_s, 1)
         self._changed.add(instance)
 
     def on_request_accepted(self, now_s: float, instance: str) -> None:
@@ -269,6 +286,27 @@
             mean_s = self.mean_latency_s(service)
             self._mean_latencies_s[service] = mean_s + _LATENCY_WEIGHT * (latency_s - mean_s)
 
+    def on_limit(self, now_s: float, instance: str, limit_per_s: float) -> None:
+        """Records the limit that a response of an instance names, or infinity if it names none."""
+        health = self.health(instance)
+        if limit_per_s != health.limit_per_s:
+            self._set_limit(now_s, instance, limit_per_s)
+            health.unreported_limit_per_s = limit_per_s
+            self._changed.add(instance)
+            self.urgent = True
+
+    def _set_limit(self, now_s: float, instance: str, limit_per_s: float) -> None:
+        health = self.health(instance)
+        health.limit_per_s = limit_per_s
+        if limit_per_s == math.inf:
+            health.rate_limit = None
+            return
+        rate_s = limit_per_s * self._limit_share(instance)
+        if health.rate_limit is None:
+            health.rate_limit = RequestRateLimit(now_s, rate_s)
+        else:
+            health.rate_limit.set_rate(now_s, rate_s)
+
     def _add_evidence(
         self, now_s: float, instance: str, reset_evidence: float, error_evidence: float
     ) -> None:
@@ -292,13 +330,17 @@
                     health.unreported_reset_evidence,
                     health.unreported_error_evidence,
                     health.unreported_refusals,
+                    health.unreported_requests,
+                    health.unreported_limit_per_s,
                 )
             )
             (
                 health.unreported_reset_evidence,
                 health.unreported_error_evidence,
                 health.unreported_refusals,
-            ) = (0.0, 0.0, 0)
+                health.unreported_requests,
+                health.unreported_limit_per_s,
+            ) = (0.0, 0.0, 0, 0, _NO_CHANGE)
         self._changed.clear()
         self.urgent = False
         return tuple(observations)
@@ -318,6 +360,10 @@
                 health.add_evidence(now_s, reset_evidence, error_evidence)
             if observation.refusals > 0:
                 health.on_refusals(now_s, observation.refusals)
+            if observation.limit_per_s >= 0:
+                self._set_limit(now_s, observation.instance, observation.limit_per_s)
+            if health.rate_limit is not None and observation.requests > 0:
+                health.rate_limit.on_requests(now_s, observation.requests)
 
     def beliefs(
         self, now_s: float, instances: Iterable[str], receiver: str
--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -238,6 +238,8 @@
             # Noise, because hosts with the same observations would all choose the same instance.
             noise = _COST_NOISE * random()
             min_cost += failure_cost * health.min_unhealthy_probability + noise
+            if health.rate_limit is not None and health.rate_limit.is_exhausted(now_s):
+                continue
             if min_cost < limit and instance.id not in request.exclude:
                 candidate = self._candidate(now_s, request, instance, health, distance, noise)
                 if candidate.cost < limit:
@@ -299,6 +301,8 @@
         for instance, health in entries:
             if now_s - health.last_explored_s <= interval_s:
                 continue
+            if health.rate_limit is not None and health.rate_limit.is_exhausted(now_s):
+                continue
             last_s = health.last_used_s if exploration.unused else health.last_evidence_s
             if now_s - last_s <= interval_s or instance.id in request.exclude:
                 continue
--- a/anviltray/decisions/placement/tests/replay.py
+++ b/anviltray/decisions/placement/tests/replay.py
@@ -76,7 +76,7 @@
             self.arrivals.append((now_s, False))
             return
         key = placed.instance.id
-        host.tracker.on_request_started(key)
+        host.tracker.on_request_started(0.0, key)
         outcome = self.outcome(now_s, key)
         self.sends.append((now_s, key, outcome))
         if outcome is not ExchangeOutcome.OK:
--- a/anviltray/decisions/placement/tests/test_connections.py
+++ b/anviltray/decisions/placement/tests/test_connections.py
@@ -73,7 +73,7 @@
                 recent[chosen.address].pop()
             else:
                 opened += 1
-            host.tracker.on_request_started(chosen.id)
+            host.tracker.on_request_started(0.0, chosen.id)
             start_s = max(now_s, heapq.heappop(free_s[chosen.id]))
             end_s = start_s + service_s * rng.uniform(0.5, 1.5)
             heapq.heappush(free_s[chosen.id], end_s)
--- a/anviltray/decisions/placement/tests/test_evidence.py
+++ b/anviltray/decisions/placement/tests/test_evidence.py
@@ -35,7 +35,7 @@
         elif event in late_evidence:
             tracker.on_late_response(now_s, "i-1", late_evidence[event])
         else:
-            tracker.on_request_started("i-1")
+            tracker.on_request_started(0.0, "i-1")
             tracker.on_request_ended(now_s, "i-1", "keeper", event, 0.4)
     return tracker.health("i-1").unhealthy_probability(at_s)
 
@@ -75,8 +75,8 @@
 
 def test_reported_observations_give_another_host_the_same_belief():
     first, second = HealthTracker(), HealthTracker()
-    first.on_request_started("i-1")
-    first.on_request_started("i-1")
+    first.on_request_started(0.0, "i-1")
+    first.on_request_started(0.0, "i-1")
     first.on_request_ended(1.0, "i-1", "keeper", BROKEN, 0.01)
     assert first.urgent
     second.on_peer_observations(1.0, "10.0.0.1", first.pop_observations())
@@ -105,7 +105,7 @@
 def test_the_belief_of_another_zone(own, reported, low, high):
     tracker = HealthTracker()
     if own is not None:
-        tracker.on_request_started("i-1")
+        tracker.on_request_started(0.0, "i-1")
         tracker.on_request_ended(0.5, "i-1", "keeper", own, 0.01)
     tracker.on_zone_beliefs(1.0, "lautoka", [InstanceBelief("i-1", reported, 0.01, 3)])
     assert low <= tracker.health("i-1").unhealthy_probability(1.0) <= high
@@ -123,7 +123,7 @@
 
 def test_a_refusal_adds_load_that_decays():
     first, second = HealthTracker(), HealthTracker()
-    first.on_request_started("i-1")
+    first.on_request_started(0.0, "i-1")
     first.on_request_ended(1.0, "i-1", "keeper", ExchangeOutcome.REFUSED, 0.01)
     second.on_peer_observations(1.0, "10.0.0.1", first.pop_observations())
     for tracker in (first, second):
@@ -133,7 +133,7 @@
 
 def test_removed_instances_are_dropped_when_idle():
     tracker = HealthTracker()
-    tracker.on_request_started("i-1")
+    tracker.on_request_started(0.0, "i-1")
     tracker.keep_only({})
     assert tracker.health("i-1").outstanding == 1
     tracker.on_request_ended(1.0, "i-1", "keeper", OK, 0.4)
--- a/anviltray/decisions/placement/tests/test_placement.py
+++ b/anviltray/decisions/placement/tests/test_placement.py
@@ -52,12 +52,12 @@
 
     def load(self, key, outstanding):
         for _ in range(outstanding):
-            self.tracker.on_request_started(key)
+            self.tracker.on_request_started(0.0, key)
 
     def observe(self, now_s, key, unhealthy):
         for _ in range(4):
             if unhealthy:
-                self.tracker.on_request_started(key)
+                self.tracker.on_request_started(0.0, key)
                 self.tracker.on_request_ended(now_s, key, "s", ExchangeOutcome.BROKEN, 0.01)
             else:
                 self.tracker.on_request_accepted(now_s, key)
@@ -281,7 +281,7 @@
                 )
                 placed = policy(hosts[number], now_s, placement_request, instances)
                 key = placed.instance.id
-                hosts[number].tracker.on_request_started(key)
+                hosts[number].tracker.on_request_started(0.0, key)
                 broken = _is_unhealthy(phases[key], now_s) and rng.random() < 0.85
                 if not broken:
                     order += 1
--- a/anviltray/decisions/placement/tests/test_zone_loads.py
+++ b/anviltray/decisions/placement/tests/test_zone_loads.py
@@ -22,7 +22,7 @@
     """Returns the trackers of the zone of i-1 and of another zone with requests in flight there."""
     own, other = HealthTracker(), HealthTracker()
     for _ in range(outstanding):
-        other.on_request_started("i-1")
+        other.on_request_started(0.0, "i-1")
     own.on_zone_loads(1.0, "labasa", other.loads(["i-1"]))
     return own, other
 
@@ -40,7 +40,7 @@
 
 def test_a_new_report_replaces_the_one_before():
     own, other = trackers(3)
-    other.on_request_started("i-2")
+    other.on_request_started(0.0, "i-2")
     for _ in range(3):
         other.on_request_ended(1.2, "i-1", "s", ExchangeOutcome.OK, 0.2)
     own.on_zone_loads(1.5, "labasa", other.loads(["i-1", "i-2"]))
@@ -51,7 +51,7 @@
 
 def test_a_zone_is_not_told_about_its_own_requests():
     own, other = trackers(3)
-    own.on_request_started("i-1")
+    own.on_request_started(0.0, "i-1")
     own.on_request_accepted(1.0, "i-1")
     for receiver, outstanding in [("labasa", 1), ("nadi", 4)]:
         assert [belief.outstanding for belief in own.beliefs(1.0, ["i-1"], receiver)] == [
@@ -94,7 +94,7 @@
                     self.shed += 1
                     continue
                 key = chosen.instance.id
-                hosts[number].tracker.on_request_started(key)
+                hosts[number].tracker.on_request_started(0.0, key)
                 start_s = max(now_s, heapq.heappop(free_s[key]))
                 end_s = start_s + SERVICE_S * rng.uniform(0.5, 1.5)
                 heapq.heappush(free_s[key], end_s)
--- a/anviltray/edge/_attempt.py
+++ b/anviltray/edge/_attempt.py
@@ -59,7 +59,7 @@
         # Called if the request is not acknowledged within `ACKNOWLEDGEMENT_TIMEOUT_S`.
         self.on_unacknowledged: Callable[[], None] = lambda: None
         self.started_s = self._loop.time()
-        health_tracker.on_request_started(placed.instance.id)
+        health_tracker.on_request_started(self.started_s, placed.instance.id)
 
     def on_connection(self, fresh: bool) -> None:
         """Records for the log whether a new connection was opened."""
@@ -81,6 +81,12 @@
             self._accepted = True
             self._health_tracker.on_request_accepted(self._loop.time(), self.placed.instance.id)
 
+    def report_limit(self, limit_per_s: float) -> None:
+        """Reports the limit that the response names, or infinity if it names none."""
+        self._health_tracker.on_limit(self._loop.time(), self.placed.instance.id, limit_per_s)
+        if self._health_tracker.urgent:
+            self.on_evidence()
+
     def _check_accepted(self) -> None:
         if self._acknowledged():
             self.report_accepted()
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -1,6 +1,7 @@
 """Proxies caller requests: routing, instance selection, retries and the response."""
 
 import asyncio
+import math
 
 import logbook
 
@@ -79,6 +80,15 @@
     return result is None
 
 
+def _parse_limit(value: bytes | None) -> float:
+    """Returns a limit in requests per second; infinity if there is none or it is invalid."""
+    try:
+        limit_per_s = math.inf if value is None else float(value)
+    except ValueError:
+        return math.inf
+    return limit_per_s if limit_per_s >= 0 else math.inf
+
+
 class _Progress:
     """Accumulated results of the attempts of one request."""
 
@@ -127,6 +137,7 @@
         caller_headers: CallerHeaders,
         instance_header: str,
         seal_header: str,
+        limit_header: str,
     ) -> None:
         self._state = state
         self._loans = loans
@@ -138,6 +149,7 @@
         self.set_limits(settings)
         self._instance_header = instance_header
         self._seal_name = seal_header.lower().encode()
+        self._limit_name = limit_header.lower().encode()
 
     def set_limits(self, settings: CallerSettings) -> None:
         """Applies the size limits and timeouts for requests."""
@@ -523,16 +535,17 @@
         self, call: EdgeCall, recorder: AttemptRecorder, response: UpstreamResponse
     ) -> AttemptResult | None:
         """Reads a response and classifies the result of the attempt."""
+        fields = dict(response.headers)
         if response.status == MISDIRECTED:
             recorder.finish(ExchangeOutcome.ABANDONED)
             self._state.directory.mark_misdirected(recorder.placed.instance)
             call.cancellable = True
             return NotExecuted("misdirected")
+        recorder.report_limit(_parse_limit(fields.get(self._limit_name)))
         if response.signals.refused:
             recorder.finish(ExchangeOutcome.REFUSED)
             call.cancellable = True
             return NotExecuted("refused")
-        fields = dict(response.headers)
         if 200 <= response.status < 300 and self._seal_name not in fields:
             raise InvalidResponse("a success without the seal of the instance")
         recorder.report_accepted()
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -10,6 +10,7 @@
     Placement,
     UnservedShare,
     WeightedChoice,
+    limit_share,
 )
 from anviltray.decisions.retries import ResponseTimes, RetryBudget
 from anviltray.declarations import PrefixIndex, PrefixRoute, RoutingConfiguration
@@ -40,7 +41,7 @@
         self.settings = settings
         self.upstreams = upstreams
         self.directory = InstanceDirectory()
-        self.health_tracker = HealthTracker()
+        self.health_tracker = HealthTracker(self._limit_share)
         self.placement = Placement(
             Locality(settings.region, settings.zone),
             dict(settings.zone_regions),
@@ -91,6 +92,11 @@
             )
             self.upstreams.set_node_count(self.fleet_size, limit)
 
+    def _limit_share(self, key: str) -> float:
+        instance = self.directory.instances.get(key)
+        own_zone = instance is None or instance.zone == self.settings.zone
+        return limit_share(own_zone, len(self.settings.zone_regions))
+
     def find_route(self, host: str, path: str) -> PrefixRoute | None:
         """Returns the route of a request, or None if none matches."""
         return self._routes.find(host, path)
--- a/anviltray/edge/tests/support.py
+++ b/anviltray/edge/tests/support.py
@@ -188,6 +188,7 @@
 
 
 __all__ = [
+    "SEAL",
     "Fleet",
     "configuration",
     "in_turn",
--- a/anviltray/messages/_generated.py
+++ b/anviltray/messages/_generated.py
@@ -153,16 +153,22 @@
     log_likelihood_ratio: float  # New evidence for resetting over healthy; natural logarithm.
     error_log_likelihood_ratio: float  # New evidence for erring over healthy; natural logarithm.
     refusals: int  # Requests that the instance has shed since the last report.
+    requests: int  # Requests sent to it since the last report.
+    limit_per_s: (
+        float  # New limit of the fleet's requests per second; inf is none, negative unchanged.
+    )
 
 
 def _decode_instance_observation(data: Any) -> InstanceObservation:
-    items = check_arity("InstanceObservation", data, 5)
+    items = check_arity("InstanceObservation", data, 7)
     return InstanceObservation(
         instance=decode_str(items[0]),
         outstanding=decode_int(items[1]),
         log_likelihood_ratio=decode_float(items[2]),
         error_log_likelihood_ratio=decode_float(items[3]),
         refusals=decode_int(items[4]),
+        requests=decode_int(items[5]),
+        limit_per_s=decode_float(items[6]),
     )
 
 
--- a/anviltray/platform/_names.py
+++ b/anviltray/platform/_names.py
@@ -8,6 +8,8 @@
 EXPECTED_INSTANCE_HEADER = "Expect-Instance"
 NOT_EXECUTED_HEADER = "Not-Executed"
 SEAL_HEADER = "Response-Seal"  # Proves that the response comes from the instance.
+# Requests per second that the instance takes from all hosts together; in responses while it lasts.
+LIMIT_HEADER = "Server-Limit"
 
 # Statuses with which an instance refuses a request unexecuted, if NOT_EXECUTED_HEADER is present.
 REFUSAL_STATUSES = (400, 429, 503)
