Explore sooner while fewer instances than the floor are in use

In a healthy service an instance whose unhealthy phase is over gets its next request up to 8 s after the last one if few requests are idempotent, so often too few instances are in use when the loss comes. Change: while fewer instances of the zone than floorShare got a request within two seconds, an instance is explored after 3 s instead of 8 s. The share comes from the settings.

--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -35,6 +35,11 @@
 # this long. The average unhealthy phase is over by then, and without exploration the instance
 # would stay out of use.
 _UNREPEATABLE_EXPLORE_INTERVAL_S = 8.0
+# The same while fewer instances than the floor are in use. Instances whose unhealthy phase is over
+# must be found before requests fail, as a sudden loss leaves no time to find them.
+_FLOOR_EXPLORE_INTERVAL_S = 3.0
+# An instance without a request for longer than this is not in use.
+_IN_USE_S = 2.0
 # Above this share of unserved requests, exploration happens after a shorter interval, does not
 # depend on the retry budget and includes instances that are just less attractive than others. Most
 # healthy instances must be in use within two seconds when 10 % of the requests of a service are not
@@ -162,13 +167,16 @@
         warmup: WarmupView,
         connections: ConnectionView,
         rng: Random,
+        floor_share: float = 0.7,
     ) -> None:
+        """`floor_share` is the share of a service's instances in the zone to keep in use."""
         self._locality = locality
         self._zone_regions = zone_regions
         self._tracker = tracker
         self._warmup = warmup
         self._connections = connections
         self._rng = rng
+        self._floor_share = floor_share
         self._tiers_by_service: dict[str, _ServiceTiers] = {}
 
     def choose(
@@ -176,7 +184,9 @@
     ) -> Placed | Shed:
         """Returns the best of the usable `instances` of the service, or sheds the request."""
         tiers = self._tiers(request.service, instances)
-        explored = self._explore(now_s, request, tiers[0], self._exploration(request))
+        explored = self._explore(
+            now_s, request, tiers[0], self._exploration(now_s, request, tiers[0])
+        )
         if explored is not None:
             return _placed(now_s, explored, explores=True)
         best: _Candidate | None = None
@@ -270,7 +280,9 @@
             return 0
         return 1 if self._zone_regions.get(instance.zone) == self._locality.region else 2
 
-    def _exploration(self, request: PlacementRequest) -> _Exploration:
+    def _exploration(
+        self, now_s: float, request: PlacementRequest, entries: Sequence[_Entry]
+    ) -> _Exploration:
         """Returns which instances the request may explore in place of the best one."""
         degraded = request.unserved_share > _DEGRADED_UNSERVED_SHARE
         if degraded and self._rng.random() < _DEGRADED_EXPLORE_SHARE:
@@ -283,9 +295,17 @@
         if request.may_explore:
             return _Exploration(_EXPLORE_INTERVAL_S)
         if request.unrepeatable and request.first_attempt:
-            return _Exploration(_UNREPEATABLE_EXPLORE_INTERVAL_S)
+            below_floor = self._is_below_floor(now_s, entries)
+            return _Exploration(
+                _FLOOR_EXPLORE_INTERVAL_S if below_floor else _UNREPEATABLE_EXPLORE_INTERVAL_S
+            )
         return _Exploration()
 
+    def _is_below_floor(self, now_s: float, entries: Sequence[_Entry]) -> bool:
+        """Returns whether too few of the instances of the zone are in use."""
+        in_use = sum(now_s - entry.health.last_used_s < _IN_USE_S for entry in entries)
+        return in_use < math.ceil(self._floor_share * len(entries))
+
     def _explore(
         self,
         now_s: float,
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -49,6 +49,7 @@
             self.directory,
             upstreams,
             rng,
+            settings.guarantees.floor_share,
         )
         self.response_times = ResponseTimes()
         self.unserved = UnservedShare()
--- a/anviltray/platform/_host_settings.py
+++ b/anviltray/platform/_host_settings.py
@@ -52,6 +52,8 @@
             retry_share=_parse_non_negative(bounds["retryBudgetRatio"], "retryBudgetRatio"),
             retry_window_s=_parse_non_negative(bounds["budgetWindowS"], "budgetWindowS"),
             retry_slack=_parse_non_negative(bounds["retryBudgetSlack"], "retryBudgetSlack"),
+            # Optional: not all deployments have a floor.
+            floor_share=_parse_share(bounds.get("floorShare", "0.7"), "floorShare"),
         ),
     )
 
@@ -76,6 +78,13 @@
     return value
 
 
+def _parse_share(value: Any, key: str) -> float:
+    share = _parse_non_negative(value, key)
+    if share > 1:
+        raise ValueError(f"{key} must be between 0 and 1, found {value!r}")
+    return share
+
+
 def _parse_non_negative(value: Any, key: str) -> float:
     try:
         number = float(value)
--- a/anviltray/settings/_host.py
+++ b/anviltray/settings/_host.py
@@ -14,6 +14,7 @@
     retry_share: float  # Additional attempts per request of a service, over all hosts.
     retry_window_s: float  # Time window of the retry share.
     retry_slack: float  # Additional attempts per window beyond the share, over all hosts.
+    floor_share: float  # Share of a service's healthy instances that are kept in use.
 
 
 class HostSettings(NamedTuple):
