Ignore registrations with numbers or addresses out of range

Cause: a number that does not fit into a float raised OverflowError, which the decoder does not wrap, so the task that follows the store failed and the process ended. An entry with a port out of range, a name instead of an IP address or a huge number of slots was accepted and failed each request placed there. Change: numbers have bounds, NaN and infinity are rejected, addresses are IP addresses with a port from 1 to 65535; a configuration with such a number is invalid as well.

--- a/anviltray/platform/_documents.py
+++ b/anviltray/platform/_documents.py
@@ -1,5 +1,6 @@
 """Decodes the configuration and instance documents in the store."""
 
+import ipaddress
 import json
 from collections.abc import Mapping
 from typing import Any
@@ -13,6 +14,12 @@
     RoutingConfiguration,
 )
 
+# Larger numbers come from writers that are no instances. Integers in messages have 64 bits.
+_MAX_INTEGER = 2**63 - 1
+_MAX_PORT = 65535
+_MAX_SLOTS = 65535  # An instance has no more connections to one address than there are ports.
+_MAX_WARMUP_MS = 24 * 3600 * 1000.0
+
 
 class DocumentInvalid(ValueError):
     """The bytes are not a valid document of the expected kind."""
@@ -42,7 +49,7 @@
                 idle_timeout_s=float(limits["idleTimeoutMs"]) / 1000,
             ),
         )
-    except (LookupError, TypeError, ValueError, AttributeError) as error:
+    except (LookupError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise DocumentInvalid(f"configuration: {error}") from error
 
 
@@ -87,23 +94,21 @@
         if state not in ("ready", "draining"):
             raise DocumentInvalid(f"instance {key}: state must be ready or draining, not {state!r}")
         address = _get_string(document, "address")
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdigit():
-            raise DocumentInvalid(f"instance {key}: {address!r} is not an address like IP:port")
-        slots = _get_integer(info, "slots")
-        if slots < 1:
-            raise DocumentInvalid(f"instance {key}: expected at least 1 slot, found {slots}")
-        _get_integer(status, "sequence")
+        if not _is_endpoint(address):
+            raise DocumentInvalid(f"instance {key}: {address!r:.60} is not an address like IP:port")
+        _get_integer(status, "sequence", _MAX_INTEGER)
         return Instance(
             id=key,
-            started_unix_ms=_get_integer(document, "born") if "born" in document else 0,
+            started_unix_ms=(
+                _get_integer(document, "born", _MAX_INTEGER) if "born" in document else 0
+            ),
             service=_get_string(info, "service"),
             address=address,
             zone=_get_string(info, "zone"),
             version=_get_string(info, "version"),
-            slots=slots,
+            slots=_get_integer(info, "slots", _MAX_SLOTS, minimum=1),
             draining=state == "draining",
-            warmup_s=max(0.0, _get_number(status, "warmupLeftMs") / 1000),
+            warmup_s=max(0.0, _get_number(status, "warmupLeftMs", _MAX_WARMUP_MS) / 1000),
         )
     except (LookupError, TypeError, AttributeError) as error:
         raise DocumentInvalid(f"instance {key}: {error!r}") from error
@@ -126,15 +131,27 @@
     return value
 
 
-def _get_integer(item: Mapping[str, Any], name: str) -> int:
+def _get_integer(
+    item: Mapping[str, Any], name: str, maximum: int, minimum: int = -_MAX_INTEGER
+) -> int:
     value = item[name]
-    if type(value) is not int:
-        raise DocumentInvalid(f"{name!r} must be an integer")
+    if type(value) is not int or not minimum <= value <= maximum:
+        raise DocumentInvalid(f"{name!r} must be an integer from {minimum} to {maximum}")
     return value
 
 
-def _get_number(item: Mapping[str, Any], name: str) -> float:
+def _get_number(item: Mapping[str, Any], name: str, maximum: float) -> float:
     value = item[name]
-    if type(value) not in (int, float):
-        raise DocumentInvalid(f"{name!r} must be a number")
+    # A comparison with NaN is false.
+    if type(value) not in (int, float) or not abs(value) <= maximum:
+        raise DocumentInvalid(f"{name!r} must be a number up to {maximum}")
     return float(value)
+
+
+def _is_endpoint(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) <= _MAX_PORT
--- a/anviltray/platform/tests/test_documents.py
+++ b/anviltray/platform/tests/test_documents.py
@@ -30,6 +30,7 @@
         configuration(limits=REMOVED),
         configuration(routes=[{"name": "r"}]),
         configuration(services=None),
+        configuration(limits={"maxHeaderBytes": 1, "maxBodyBytes": 1, "headerTimeoutMs": 10**400}),
     ],
 )
 def test_invalid_configuration_is_an_error(payload):
@@ -89,6 +90,21 @@
         registration(address=REMOVED),
         registration(born="now"),
         registration(born=1.5),
+        # Odd entries of other writers: numbers that are too large, addresses that are none.
+        registration(born=10**400),
+        registration(info__slots=10**400),
+        registration(info__slots=10**9),
+        registration(status__warmupLeftMs=10**400),
+        registration(status__warmupLeftMs=float("inf")),
+        registration(status__warmupLeftMs=float("nan")),
+        registration(status__sequence=10**400),
+        registration(address="10.0.0.1:0"),
+        registration(address="10.0.0.1:65536"),
+        registration(address="10.0.0.1:" + "9" * 5000),
+        registration(address="10.0.0.1:\u00b2"),
+        registration(address="host.example:80"),
+        b'{"info":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+        b"[" * 100_000,
     ],
 )
 def test_invalid_instance_is_an_error(payload):
