Test that a response that ends in its head is never passed on

Cause: none here; aiohttp reports such a response as a disconnection, whatever part of the head arrived.

--- a/anviltray/edge/tests/test_requests.py
+++ b/anviltray/edge/tests/test_requests.py
@@ -44,6 +44,23 @@
     return respond(status, b"", f"Not-Executed: 1\r\n{request_id}", echo=False)
 
 
+@pytest.mark.parametrize("ends", ["line", "in-line", "in-end"])
+@pytest.mark.parametrize("lines", range(1, 5))
+@pytest.mark.parametrize("framing", ["Content-Length: 4", "Transfer-Encoding: chunked", "X-A: 1"])
+def test_a_response_that_ends_in_its_head_is_not_passed_on(tmp_path, lines, ends, framing):
+    # The length may be in the part of the head that is missing.
+    head = ["HTTP/1.1 200 OK", SEAL.strip(), "Request-Id: c1", framing]
+    text = "\r\n".join(head[:lines])
+    partial = {"line": text + "\r\n", "in-line": text[:-2], "in-end": text + "\r"}[ends]
+
+    async def test(fleet):
+        response = await fleet.call(ORDER, b"x")
+        assert response.status == 502
+        assert fleet.received() == 1
+
+    run(tmp_path, test, raw(partial.encode()))
+
+
 async def unframed_reset(request, writer):
     writer.write(UNFRAMED)
     await writer.drain()
