Reject requests that are complete only in the second half of the grace period

Cause: a stopping host closes idle connections, but a request whose head arrives slowly was passed on whenever it was complete, also a moment before the host ends. Evidence: test_stop.py, a head that is complete at 0.7 of the grace period: 502 and one attempt before, the exchange with the instance was broken off. Change: from half of the grace period on, a request that has not been sent is rejected as not run, with Retry-After and Connection: close; requests in flight are completed as before. Result: 503 and no attempt; a request that is complete at 0.3 of the grace period is served.

--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -53,10 +53,14 @@
 # requests at once.
 _LOAD_GRACE_S = 3.0
 _DEFAULT_RETRY_AFTER_S = 0.4  # Retry-After if placement gives no estimate.
+_MIN_RETRY_AFTER_S = 0.1  # Retry-After if another host can serve the request at once.
 
 _NOT_READY = Problem(
     503, "not-ready", "the host has no configuration yet", retry_after_s=_DEFAULT_RETRY_AFTER_S
 )
+_STOPPING = Problem(
+    503, "stopping", "the host is about to end", retry_after_s=_MIN_RETRY_AFTER_S, close=True
+)
 _NO_ROUTE = Problem(404, "no-route", "no route matches the request")
 _REFUSED = Problem(
     503, "refused", "no instance accepts the request now", retry_after_s=_DEFAULT_RETRY_AFTER_S
@@ -283,6 +287,8 @@
         """
         if not call.body.ended:
             await call.body.buffer_if_short()
+        if not self._state.accepts_requests:
+            return self._respond_problem(call.exchange, call.head, _STOPPING)
         self._state.retry_budget(call.service).record_request(self._state.clock.now_s())
         progress = _Progress()
         # Timers are late after a suspension of the host, so each attempt checks the time.
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -72,6 +72,9 @@
 # address list. The rest, less the margin, is for requests in flight.
 _DRAIN_SHARE = 0.4
 _STOP_MARGIN_S = 0.4
+# Fraction of the grace period after that in which requests whose head or body is still arriving are
+# passed on. Later ones are rejected: they may not be complete when the host ends.
+_LATE_SHARE = 0.1
 METRICS_PORT = 9464
 
 
@@ -190,7 +193,8 @@
         """Stops gracefully, within the grace period of the settings.
 
         The host becomes not ready and leaves the directory. It serves callers that have cached its
-        address, then closes its listener and completes the requests in flight.
+        address, then closes its listener and completes the requests in flight. Requests that are
+        complete only in the second half of the grace period are rejected.
         """
         loop = asyncio.get_running_loop()
         grace_s = self.settings.guarantees.grace_s
@@ -200,10 +204,15 @@
         _log.info("stopping", extra={"node": self.settings.node, "grace_s": grace_s})
         await asyncio.sleep(grace_s * _DRAIN_SHARE)
         self._stop_callers.set()
+        refusing = loop.call_later(grace_s * _LATE_SHARE, self._reject_late_requests)
         await asyncio.wait(self._serving[:1], timeout=max(0.0, end_s - loop.time()))
+        refusing.cancel()
         await self.close()
         _log.info("stopped", extra={"node": self.settings.node})
 
+    def _reject_late_requests(self) -> None:
+        self.state.accepts_requests = False
+
     async def close(self) -> None:
         """Cancels all tasks and closes all sockets at once."""
         if self._slack_timer is not None:
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -56,6 +56,7 @@
         self.configuration: RoutingConfiguration | None = None
         self.loaded = asyncio.Event()  # The configuration and the instances are known.
         self.shutting_down = False
+        self.accepts_requests = True  # False late in the grace period of a shutdown.
         self.clock = ElapsedClock()
         self.urgent = asyncio.Event()  # Failure evidence must be sent to the zone at once.
         self._routes = PrefixIndex()
