--- a/anviltray/decisions/placement/_evidence.py
+++ b/anviltray/decisions/placement/_evidence.py
@@ -286,14 +286,19 @@
             mean_s = self.mean_latency_s(service)
             self._mean_latencies_s[service] = mean_s + _LATENCY_WEIGHT * (latency_s - mean_s)
 
-    def on_limit(self, now_s: float, instance: str, limit_per_s: float) -> None:
-        """Records the limit that a response of an instance names, or infinity if it names none."""
+    def on_limit(self, now_s: float, instance: str, limit_per_s: float) -> bool:
+        """Records the limit that a response of an instance names, or infinity if it names none.
+
+        Returns whether it has changed.
+        """
         health = self.health(instance)
-        if limit_per_s != health.limit_per_s:
-            self._set_limit(now_s, instance, limit_per_s)
-            health.unreported_limit_per_s = limit_per_s
-            self._changed.add(instance)
-            self.urgent = True
+        if limit_per_s == health.limit_per_s:
+            return False
+        self._set_limit(now_s, instance, limit_per_s)
+        health.unreported_limit_per_s = limit_per_s
+        self._changed.add(instance)
+        self.urgent = True
+        return True
 
     def _set_limit(self, now_s: float, instance: str, limit_per_s: float) -> None:
         health = self.health(instance)
--- a/anviltray/edge/_attempt.py
+++ b/anviltray/edge/_attempt.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+import logbook
+
 from anviltray.decisions import ExchangeOutcome
 from anviltray.decisions.placement import (
     ACCEPTED_AFTER_S,
@@ -13,6 +15,8 @@
 )
 from anviltray.decisions.retries import LateStage
 
+_log = logbook.Logger("anviltray.placement")
+
 
 class AttemptRecorder:
     """Exchange observer that reports each phase of an attempt once to the health tracker."""
@@ -83,8 +87,9 @@
 
     def report_limit(self, limit_per_s: float) -> None:
         """Reports the limit that the response names, or infinity if it names none."""
-        self._health_tracker.on_limit(self._loop.time(), self.placed.instance.id, limit_per_s)
-        if self._health_tracker.urgent:
+        key = self.placed.instance.id
+        if self._health_tracker.on_limit(self._loop.time(), key, limit_per_s):
+            _log.info("instance limit changed", extra={"instance": key, "per_s": limit_per_s})
             self.on_evidence()
 
     def _check_accepted(self) -> None:
