Wait between reads of the store if fetching from peers has ended

Cause: since a host that is behind waits for the task that fetches from peers between two reads of the store. A task that has ended, for example with an unexpected error, made that wait end at once, and the error was lost. Change: the pause is kept whatever the task does, and its error is logged; the host goes on with the store.

--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -432,11 +432,18 @@
                 except PlatformError as error:
                     self.counters["failed_reads"] += 1
                     _log.warning("reading what a peer has announced failed: {}", error)
-                await asyncio.wait({fetching}, timeout=pause_s * (1 + self._rng.random()))
+                delay_s = pause_s * (1 + self._rng.random())
+                if fetching.done():
+                    await asyncio.sleep(delay_s)
+                else:
+                    await asyncio.wait({fetching}, timeout=delay_s)
                 pause_s = min(2 * pause_s, _RETRY_BACKOFF_S[1])
         finally:
             fetching.cancel()
-            await asyncio.gather(fetching, return_exceptions=True)
+            (result,) = await asyncio.gather(fetching, return_exceptions=True)
+            if isinstance(result, Exception):
+                # The store has the state as well, so the host goes on without its peers.
+                _log.error("fetching from peers failed: {!r}", result)
 
     async def _read_announced(self) -> None:
         """Reads from the store what peers have announced; raises PlatformError."""
--- a/anviltray/zone/tests/test_lost_peers.py
+++ b/anviltray/zone/tests/test_lost_peers.py
@@ -7,10 +7,11 @@
 
 import pytest
 
+from anviltray.platform import KeyedStore
 from anviltray.platform.tests.documents import configuration
 from anviltray.zone import SnapshotUnavailable
 from anviltray.zone.tests.test_follower import CONFIGURATION_S, Fleet
-from standins.store import StoreConditions
+from standins.store import StoreConditions, StoreStandin
 
 FETCH_TIMEOUT_S = 1.0  # Time limit of a fetch from a host that does not respond.
 STORE_TIMEOUT_S = 1.5  # The same for a call to the store.
@@ -126,6 +127,31 @@
     return await fleet.in_force(9)
 
 
+def test_failing_fetches_do_not_flood_the_store():
+    async def scenario(fleet, reader):
+        failing = StoreStandin()
+        failing.conditions = StoreConditions(status=503)
+        await failing.start()
+
+        async def fetch(sender):
+            raise RuntimeError("unexpected")
+
+        victim = fleet.readers()[-1]
+        victim.follower._fetch_snapshot = fetch
+        healthy, victim.follower._store = victim.follower._store, KeyedStore(failing.address, 0.5)
+        fleet.append(9)
+        await asyncio.sleep(CONFIGURATION_S)
+        assert victim.versions == [7]
+        # Both tasks that read the store wait at least 0.25 s after a failure.
+        assert len(failing.calls) <= 2 * CONFIGURATION_S / 0.25
+        await victim.follower._store.close()
+        victim.follower._store = healthy
+        await failing.close()
+        return await fleet.in_force(9)
+
+    assert measure(scenario) <= CONFIGURATION_S
+
+
 @pytest.mark.parametrize(
     "scenario",
     [
