--- a/review/harness.py
+++ b/review/harness.py
@@ -186,6 +186,7 @@
         self.state = "ready"
         self.address = ""
         self._sequence = 0
+        self._cut = False  # Whether the instance does not reach the store.
         self._tasks: set[asyncio.Task[Any]] = set()
         self._beating: asyncio.Task[None] | None = None
 
@@ -200,8 +201,8 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     def register(self) -> None:
-        if self.store.conditions != StoreConditions():
-            return  # The store is in disturbance, so it may not accept the report.
+        if self._cut or self.store.conditions != StoreConditions():
+            return  # The store is in disturbance or out of reach.
         self._sequence += 1
         document = {
             "address": self.address,
@@ -211,6 +212,11 @@
         }
         self.store.append_record("keyed.servers", self.key, json.dumps(document).encode())
 
+    def cut_from_store(self) -> None:
+        """Keeps the reports of the instance from the store; requests still reach it."""
+        self._cut = True
+        self.record.say(f"instance {self.key}: cut off from the store")
+
     def leave_unannounced(self) -> float:
         """Removes the entry without reporting `draining`; returns the time of the removal."""
         assert self._beating is not None
