Show a pipelined request that a stopping host drops

While a host stops, it closes a connection after the first response and drops the requests behind it, which it has read (LOST). Code: callers/_protocol.py (close_after_response), edge/_dispatcher.py (_respond).

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && exec python3 case.py
