--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,6 @@
-"""A host is stopped while clients wait for the responses to two pipelined requests."""
+"""An instance that is cut off from the store leaves and says so in its responses."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -11,68 +10,58 @@
 from harness import (  # noqa: E402
     BOUNDS,
     BROKEN,
+    HEARTBEAT_S,
     HELD,
-    HOST,
     TROUBLE,
     Deployment,
     configuration,
-    read_body,
-    read_head,
     route,
     run,
 )
 
-HOSTS = 3
-CLIENTS = 20
-WORK_S = 0.8
-SIGTERM_AFTER_S = 0.3  # After the requests were sent.
-
-lost: list[str] = []
-
-
-async def ask_two(deployment: Deployment, ip: str, number: int) -> None:
-    """Sends two requests at once on one connection and reads both responses."""
-    record = deployment.record
-    names = [f"c{number:03d}-{part}" for part in (1, 2)]
-    reader, writer = await asyncio.open_connection(ip, 8144)
-    for name in names:
-        writer.write(
-            f"GET /level/{name} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {name}\r\n"
-            "Deadline-Ms: 6000\r\n\r\n".encode()
-        )
-    sent_s = record.now_s()
-    record.add(f"caller sends {names} to {ip}")
-    for name in names:
-        try:
-            async with asyncio.timeout(6.5):
-                head = await read_head(reader)
-                await read_body(reader, head.headers)
-            record.add(f"caller {name}: {head.line}")
-        except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
-            after_s = record.now_s() - sent_s
-            record.add(f"caller {name}: no response, {type(error).__name__} after {after_s:.2f} s")
-            if after_s > BOUNDS["lossSlackMs"] / 1000:
-                lost.append(name)
-    writer.close()
+HOSTS = 4
+BEFORE_LEAVING_S = 0.5  # From the cut to the planned stop of the instance.
 
 
 async def play(deployment: Deployment) -> int:
     record = deployment.record
-    routes = [route("level", "safe", "keeper", targetLatencyMs=1200)]
-    await deployment.start(HOSTS, {"keeper": 6}, configuration(1, routes))
-    for instance in deployment.instances.values():
-        instance.work_s = WORK_S
-    await asyncio.sleep(3.0)
-    stopped = deployment.hosts[0]
-    asking = [ask_two(deployment, stopped.ip, number) for number in range(CLIENTS)]
-    waiting = [deployment.spawn(work) for work in asking]
-    await asyncio.sleep(SIGTERM_AFTER_S)
+    routes = [route("level", "safe", "keeper"), route("order", "unsafe", "keeper")]
+    await deployment.start(HOSTS, {"keeper": 5}, configuration(1, routes))
+    deployment.start_traffic(deployment.hosts, ("/level/", "/order/"), 0.1)
+    await asyncio.sleep(5.0)
+    leaving = deployment.instances["i-keeper-1"]
+    if TROUBLE:
+        leaving.cut_from_store()
+    await asyncio.sleep(BEFORE_LEAVING_S)
+    leaving.headers = "Server-Leaving: 1\r\n"
+    leaving.state = "draining"
+    leaving.register()  # Reaches the store only if the instance is not cut off.
+    record.say(f"instance {leaving.key} leaves: Server-Leaving in all its responses")
+    # Its entry is removed after three intervals of silence.
+    await asyncio.sleep(3 * HEARTBEAT_S - BEFORE_LEAVING_S)
     if TROUBLE:
-        stopped.send_signal(signal.SIGTERM)
-        record.say(f"host {stopped.ip} gets SIGTERM")
-    await asyncio.gather(*waiting)
-    record.say(f"LOST: {len(lost)} of {2 * CLIENTS} requests without a response")
-    return BROKEN if lost else HELD
+        deployment.store.append_record("keyed.servers", leaving.key, b"")
+        record.say(f"the entry of {leaving.key} has lapsed")
+    await asyncio.sleep(3.0)
+
+    sent_s = {sent.request_id: sent.sent_s for sent in deployment.sent}
+    told_s: dict[str, float] = {}  # When a host first passed on a response with the header.
+    for sent in deployment.sent:
+        if sent.headers.get("server-leaving") == "1":
+            told_s[sent.host] = min(sent.ended_s, told_s.get(sent.host, sent.ended_s))
+    for host, at_s in sorted(told_s.items()):
+        record.say(f"host {host} has passed on a response with Server-Leaving at {at_s:.2f}")
+    drain_s = BOUNDS["drainMs"] / 1000
+    late = [
+        arrival
+        for arrival in leaving.arrivals
+        if arrival.host in told_s
+        and sent_s.get(arrival.request_id, 0.0) > told_s[arrival.host] + drain_s
+    ]
+    for arrival in late:
+        record.add(f"late: {arrival.request_id} from {arrival.host} at {arrival.at_s:.3f}")
+    record.say(f"DRAIN: {len(late)} requests sent later than {drain_s} s after that")
+    return BROKEN if late else HELD
 
 
 if __name__ == "__main__":
