--- a/review/harness.py
+++ b/review/harness.py
@@ -14,6 +14,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -227,8 +228,9 @@
 
     def close(self) -> None:
         """Ends the instance and its connections."""
-        if self._beating is not None:
-            self._beating.cancel()
+        if self._beating is None:
+            return  # It has not started.
+        self._beating.cancel()
         self._server.close()
         for task in self._tasks:
             task.cancel()
@@ -544,12 +546,22 @@
 
     async def main() -> int:
         deployment = Deployment(case)
+        # Stopping the script ends its processes too.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(115.0):
                 return await play(deployment)
         except (NotRunnable, OSError, TimeoutError) as error:
             deployment.record.say(f"the case could not run: {error or type(error).__name__}")
             return NOT_RUN
+        except asyncio.CancelledError:
+            return NOT_RUN
+        except Exception:
+            # An uncaught exception would end the process with the status of a broken rule.
+            traceback.print_exc()
+            return NOT_RUN
         finally:
             await deployment.close()
             deployment.record.close()
