--- a/review/harness.py
+++ b/review/harness.py
@@ -215,6 +215,7 @@
 
     def cut_from_store(self) -> None:
         """Keeps the reports of the instance from the store; requests still reach it."""
+        self.register()  # The silence, after which the entry lapses, begins now.
         self._cut = True
         self.record.say(f"instance {self.key}: cut off from the store")
 
