Believe a peer's report of an outage only if this host saw silence too

Callers: after a host that was cut off alone had returned, requests could reach instances up to 2.7 s longer after their registration was removed (DRAIN).

Cause: a host that is cut off from the store and from its peers takes the silence for an outage of the store. Its first read after the cut tells the zone when "the outage" ended, and each host of the zone believed this and kept removed registrations for renewal, although it had heard of reads all the while.

Change: a host believes such a report only if it has itself heard of no read for 1.5 s. That is the time of detection less the interval of beacons, by which two hosts may differ in what they have heard, so outages that a host notices a moment later than the reader are still believed.

--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -32,7 +32,7 @@
     decode_instance,
     names,
 )
-from anviltray.zone._exchange import MAX_DATAGRAM_BYTES, ZoneExchange
+from anviltray.zone._exchange import BEACON_INTERVAL_S, MAX_DATAGRAM_BYTES, ZoneExchange
 from anviltray.zone._snapshots import SnapshotUnavailable
 
 _log = logbook.Logger("anviltray.store")
@@ -52,6 +52,10 @@
 _RETRY_BACKOFF_S = (0.25, 1.0)  # Shortest and longest pause after a failed call, without jitter.
 # The store counts as unavailable if no host of the zone has read it for this long.
 _OUTAGE_DETECTION_S = 2.0
+# An outage that a peer reports is believed if this host has heard of no read for this long. It is
+# shorter than the time of detection, as hosts learn of the last read before an outage up to one
+# beacon apart. A peer that was cut off alone has not seen the reads of the others.
+_OUTAGE_CONFIRMATION_S = _OUTAGE_DETECTION_S - BEACON_INTERVAL_S
 # A host that has been behind a peer for longer than this fetches a snapshot. A newer configuration
 # is fetched after a random delay within the jitter instead, so that the first hosts to have it can
 # serve it as well.
@@ -379,7 +383,8 @@
     def _handle_changes(self, message: InstanceChanges) -> None:
         since_s = self._loop.time() - self._recovered_s
         since_return_s = max(0.0, message.since_return_s)
-        if self._store_lost or since_return_s < since_s - _RECOVERY_TOLERANCE_S:
+        reported = since_return_s < since_s - _RECOVERY_TOLERANCE_S
+        if self._store_lost or (reported and self.read_age_s() > _OUTAGE_CONFIRMATION_S):
             self._on_store_recovered(since_return_s)
         if message.from_offset <= self.instances_offset < message.next_offset:
             self._apply_changes(message.changes, message.next_offset)
--- a/anviltray/zone/tests/test_lost_peers.py
+++ b/anviltray/zone/tests/test_lost_peers.py
@@ -58,6 +58,12 @@
         if not receives:
             host.exchange.datagram_received = lambda data, address: None
 
+    def join(self, host):
+        """Ends a cut."""
+        self.unreachable.discard(host.address)
+        for name in ("_send_data", "datagram_received"):
+            host.exchange.__dict__.pop(name, None)
+
     def append(self, version):
         self.store.append_record("keyed.op", "config", configuration(version=f"r{version}"))
 
