Find out that the store serves a host again while others read it

Requests then reached an instance 2 to 5 s after its registration was removed, and were handled by the old configuration later than 2 s after the new one was acknowledged.

Cause: a failed call excluded a host from the order of readers until it called again, and it did not call while others read for the zone. After an outage that was all hosts but one. All of them had the same rank, the number of hosts, so with 16 hosts the next read came 2.4 s after the last one. That is later than the 2.0 s that count as an outage, so removed registrations were kept for renewal.

The nine cases of test_after_outage.py for this fault failed before the change, with resets, silence and 503, and one or two readers lost.

Change: a host whose last call failed keeps calling, with the usual pause between failed calls, also while others read. Hosts that do not reach the store are ranked one by one after the others, so that one of them reads in time if all others are lost. The fault of one host that was cut off alone has the same cause and is fixed by the same change.

test_all_hosts_read_if_none_reaches_the_store demanded that all hosts without the store read at the same age. That is the fault, so it is replaced by a test of their order, with bounds for the first and the last of them.

--- a/anviltray/decisions/following/_reader.py
+++ b/anviltray/decisions/following/_reader.py
@@ -31,21 +31,21 @@
 def read_rank(host: str, views: Iterable[StoreView]) -> int:
     """Returns the position of `host` in the order in which the hosts of the zone read the store.
 
-    All hosts compute the same order of the hosts that reach the store. A host that does not reach
-    it comes last.
+    All hosts compute the same order. The hosts that do not reach the store come after those that
+    do, and none of them waits for configurations.
     """
     views = tuple(views)
     reachable = sorted((view.host for view in views if view.reaches_store), key=_hash)
     if host in reachable:
         return reachable.index(host)
-    return max(len(views), CONFIGURATION_READERS)
+    unreachable = sorted((view.host for view in views if not view.reaches_store), key=_hash)
+    return max(len(reachable), CONFIGURATION_READERS) + unreachable.index(host)
 
 
 def read_after_s(rank: int) -> float:
     """Returns the age of the latest read of the zone at which a host reads the registrations.
 
-    Hosts that do not reach the store keep trying too, so that they detect when it is reachable
-    again.
+    No two hosts fail over at the same time, whether they reach the store or not.
 
     Example: for the ranks 0, 1 and 2 the results are 0.7, 1.18 and 1.26.
     """
--- a/anviltray/decisions/following/tests/test_reader.py
+++ b/anviltray/decisions/following/tests/test_reader.py
@@ -51,6 +51,11 @@
     assert read_ages_s[1] < DRAIN_S - 0.5
 
 
-def test_all_hosts_read_if_none_reaches_the_store():
-    read_ages_s = ages([StoreView(host, False) for host in HOSTS])
-    assert read_ages_s[0] == read_ages_s[-1] > READ_INTERVAL_S
+@pytest.mark.parametrize("reached", [0, 1, 2, 6])
+def test_hosts_that_do_not_reach_the_store_fail_over_one_by_one_too(reached):
+    read_ages_s = ages([StoreView(host, number < reached) for number, host in enumerate(HOSTS)])
+    assert all(later - earlier > 0.05 for earlier, later in itertools.pairwise(read_ages_s))
+    # If all hosts that reach the store are lost at once, the next one still reads in time.
+    assert READ_INTERVAL_S < read_ages_s[reached] < DRAIN_S - 0.25
+    # No host reads later than one place after all others for each reader of configurations.
+    assert read_ages_s[-1] <= read_after_s(len(HOSTS) - 1 + CONFIGURATION_READERS)
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -250,11 +250,14 @@
                 _log.info("instance {} removed: not renewed after the store outage", key)
             self._check_outage(now_s)
             rank = self._read_rank()
-            if self.read_age_s() < read_after_s(rank) or now_s < pause_until_s:
+            overdue = self.read_age_s() >= read_after_s(rank)
+            # A host whose last call failed keeps calling while others read for the zone. Otherwise
+            # it would never be found to reach the store again.
+            if now_s < pause_until_s or (self.reaches_store and not overdue):
                 continue
             try:
                 await self._read_instances()
-                if rank > 0:
+                if overdue and rank > 0:
                     await self._read_configuration(0.0)
                 pause_s = _RETRY_BACKOFF_S[0]
             except PlatformError as error:
--- a/anviltray/zone/tests/test_after_outage.py
+++ b/anviltray/zone/tests/test_after_outage.py
@@ -8,7 +8,7 @@
 from anviltray.messages import InstanceChanges
 from anviltray.platform import KeyedStore
 from anviltray.platform.tests.documents import registration
-from anviltray.zone.tests.test_follower import DRAIN_S
+from anviltray.zone.tests.test_follower import CONFIGURATION_S, DRAIN_S
 from anviltray.zone.tests.test_lost_peers import STORE_TIMEOUT_S, LossyFleet
 from standins.store import StoreConditions, StoreStandin
 
@@ -30,6 +30,26 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("lost", [1, 2])
+@pytest.mark.parametrize("broken", ["resets", "silent", "status"])
+def test_instance_removed_with_the_reader_after_an_outage_is_not_kept(broken, lost):
+    async def scenario(fleet):
+        fleet.store.conditions = conditions(broken)
+        await asyncio.sleep(OUTAGE_S)
+        fleet.store.conditions = StoreConditions()
+        await asyncio.sleep(STABLE_S)
+        for reader in fleet.readers()[:lost]:
+            await fleet.lose(reader)
+        fleet.store.append_record("keyed.servers", "i-1", b"")
+        fleet.append(9)
+        await fleet.until(
+            lambda host: host.usable() == [] and host.versions[-1] == 9,
+            min(DRAIN_S, CONFIGURATION_S),
+        )
+
+    run(scenario)
+
+
 async def renew(fleet):
     """Renews a registration, so that each read of the store has something to report."""
     while True:
@@ -51,6 +71,22 @@
     await failing.close()
 
 
+@pytest.mark.parametrize("broken", ["resets", "silent", "status"])
+def test_host_notices_that_the_store_serves_it_again(broken):
+    """The other hosts read for the zone meanwhile, so nothing else makes the host call."""
+
+    async def scenario(fleet):
+        victim = fleet.readers()[0]
+        async with use_failing_store(victim, broken):
+            await asyncio.sleep(OUTAGE_S)
+            assert not victim.follower.reaches_store
+        await asyncio.sleep(STABLE_S)
+        assert victim.follower.reaches_store
+        assert fleet.readers()[0] is victim
+
+    run(scenario)
+
+
 def test_outage_that_only_one_host_has_seen_does_not_keep_removed_instances():
     """A host that was cut off alone reports the outage when it reads the store again."""
 
