Take an instance out of use that says it is leaving

Hosts went on sending it requests until its registration lapsed, later than 2 s after they had passed on such a response.

Cause: no code read the header. Its name was in no file, and only records of the store took an instance out of use.

The new cases of test_directory.py need a method that did not exist.

Change: a valid response with the header drains the instance in the directory of registered instances, from which first attempts, retries, explorations and second attempts are chosen, so no path goes around it. It stays drained until it starts again: renewals, stale records and a registration that lapses and returns do not bring it back. A response that belongs to another request or is a success without the seal does not count, nor does a value other than 1. The seal is now checked before refusals; no response is both. A stale record no longer logs a drained instance as ready.

--- a/anviltray/decisions/instances/_directory.py
+++ b/anviltray/decisions/instances/_directory.py
@@ -99,6 +99,24 @@
             self._misdirected[instance.id] = instance
             self._by_service.clear()
 
+    def mark_leaving(self, now_s: float, instance: Instance) -> bool:
+        """Drains an instance that has stated in a response that it is about to end.
+
+        It remains drained until it starts again, whatever records of this start arrive later, also
+        if it is not registered at the moment. Returns whether it was usable or may have become so.
+        """
+        key, started_unix_ms = instance.id, instance.started_unix_ms
+        current = self._instances.get(key)
+        if current is None:
+            known_unix_ms, _ = self._drained.get(key, (0, 0.0))
+            self._drained[key] = (max(known_unix_ms, started_unix_ms), now_s)
+            return known_unix_ms < started_unix_ms
+        if current.draining or current.started_unix_ms != started_unix_ms:
+            return False
+        self._instances[key] = current._replace(draining=True)
+        self._by_service.clear()
+        return True
+
     def on_store_lost(self) -> None:
         """Records that the store is unreachable."""
         self._outage = True
--- a/anviltray/decisions/instances/tests/test_directory.py
+++ b/anviltray/decisions/instances/tests/test_directory.py
@@ -64,6 +64,26 @@
         ([("misdirected", TWO)], ["i-1"]),
         ([("misdirected", TWO), ("register", TWO)], ["i-1"]),
         ([("misdirected", TWO), ("register", TWO._replace(address="10.0.0.3:80"))], ["i-1", "i-2"]),
+        # What an instance says of itself in a response holds against records of the same start.
+        ([("leaving", TWO)], ["i-1"]),
+        ([("leaving", TWO), ("register", TWO)], ["i-1"]),
+        ([("leaving", TWO), ("register", TWO._replace(warmup_s=1.0))], ["i-1"]),
+        ([("leaving", TWO), ("deregister", "i-2"), ("register", TWO)], ["i-1"]),
+        ([("deregister", "i-2"), ("leaving", TWO), ("register", TWO)], ["i-1"]),
+        ([("leaving", TWO), ("register", TWO._replace(started_unix_ms=2000))], ["i-1", "i-2"]),
+        (
+            [
+                ("deregister", "i-2"),
+                ("leaving", TWO),
+                ("register", TWO._replace(started_unix_ms=2000)),
+            ],
+            ["i-1", "i-2"],
+        ),
+        # A late response of an earlier start says nothing about the present one.
+        (
+            [("register", TWO._replace(started_unix_ms=2000)), ("leaving", TWO)],
+            ["i-1", "i-2"],
+        ),
     ],
 )
 def test_usable(steps, expected):
@@ -72,6 +92,8 @@
     for name, value in steps:
         if name == "misdirected":
             directory.mark_misdirected(value)
+        elif name == "leaving":
+            directory.mark_leaving(1.0, value)
         else:
             getattr(directory, name)(1.0, value)
     assert usable_ids(directory) == expected
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -17,6 +17,7 @@
 )
 from anviltray.decisions import ExchangeOutcome
 from anviltray.decisions.placement import Placed, PlacementRequest, Shed
+from anviltray.declarations import Instance
 from anviltray.edge._attempt import AttemptRecorder, CompleteResponse, NotExecuted, OutcomeUnknown
 from anviltray.edge._call import EdgeCall
 from anviltray.edge._loans import RetryLoans
@@ -142,6 +143,7 @@
         instance_header: str,
         seal_header: str,
         limit_header: str,
+        leaving_header: str,
     ) -> None:
         self._state = state
         self._loans = loans
@@ -154,6 +156,7 @@
         self._instance_header = instance_header
         self._seal_name = seal_header.lower().encode()
         self._limit_name = limit_header.lower().encode()
+        self._leaving_name = leaving_header.lower().encode()
 
     def set_limits(self, settings: CallerSettings) -> None:
         """Applies the size limits and timeouts for requests."""
@@ -548,12 +551,14 @@
             call.cancellable = True
             return NotExecuted("misdirected")
         recorder.report_limit(_parse_limit(fields.get(self._limit_name)))
+        if 200 <= response.status < 300 and self._seal_name not in fields:
+            raise InvalidResponse("a success without the seal of the instance")
+        if fields.get(self._leaving_name, b"").strip() == b"1":
+            self._drain_instance(call, recorder.placed.instance)
         if response.signals.refused:
             recorder.finish(ExchangeOutcome.REFUSED)
             call.cancellable = True
             return NotExecuted("refused")
-        if 200 <= response.status < 300 and self._seal_name not in fields:
-            raise InvalidResponse("a success without the seal of the instance")
         recorder.report_accepted()
         body = bytearray()
         while chunk := await response.read_chunk():
@@ -568,6 +573,21 @@
         recorder.finish(ExchangeOutcome.SERVER_ERROR if failed else ExchangeOutcome.OK)
         return CompleteResponse(response.status, response.headers, bytes(body))
 
+    def _drain_instance(self, call: EdgeCall, instance: Instance) -> None:
+        """Takes an instance out of use whose response says that it is about to end."""
+        state = self._state
+        if state.directory.mark_leaving(self._loop.time(), instance):
+            state.upstreams.close_idle(instance.address)
+            self._metrics.count("leaving_instances")
+            _log.info(
+                "instance is leaving, by its own response",
+                extra={
+                    "id": call.head.request_id,
+                    "instance": instance.id,
+                    "service": instance.service,
+                },
+            )
+
     async def _stream_response(
         self, call: EdgeCall, recorder: AttemptRecorder, response: UpstreamResponse, first: bytes
     ) -> None:
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -108,6 +108,7 @@
             names.EXPECTED_INSTANCE_HEADER,
             names.SEAL_HEADER,
             names.LIMIT_HEADER,
+            names.LEAVING_HEADER,
         )
         self._slack_timer: asyncio.TimerHandle | None = None
         self._serving_zone = ServingZone(self.state, self.exchange)
--- a/anviltray/platform/_names.py
+++ b/anviltray/platform/_names.py
@@ -10,6 +10,8 @@
 SEAL_HEADER = "Response-Seal"  # Proves that the response comes from the instance.
 # Requests per second that the instance takes from all hosts together; in responses while it lasts.
 LIMIT_HEADER = "Server-Limit"
+# "1" in all responses of an instance that is about to end.
+LEAVING_HEADER = "Server-Leaving"
 
 # Statuses with which an instance refuses a request unexecuted, if NOT_EXECUTED_HEADER is present.
 REFUSAL_STATUSES = (400, 429, 503)
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -544,8 +544,11 @@
             return
         previous: Instance | None = self._directory.instances.get(key)
         self._directory.register(now_s, instance)
-        if previous is None or previous.draining != instance.draining:
-            state = "draining" if instance.draining else "ready"
+        current = self._directory.instances.get(key)
+        if current is None:
+            return  # A stale record of an instance that has left.
+        if previous is None or previous.draining != current.draining:
+            state = "draining" if current.draining else "ready"
             _log.info("instance {} of {} is {}", key, instance.service, state)
 
     def _check_outage(self, now_s: float) -> None:
