Take silence for an outage only if a call to the store has failed

Callers: after most hosts of a zone were lost at once, requests could reach instances 4 s after their registration was removed (DRAIN, 2 s allowed).

Cause: no read in the zone for 2.0 s counted as an outage of the store, in which removed registrations are kept for 2.7 s. If the first hosts in the order of reading are lost, the next one reads 2.1 s after the last read in a zone of 16 hosts, later in larger ones, although the store serves everyone.

Change: silence counts as an outage only if the last call of this host or of a live host of its zone has failed. A host tells its zone of its first failed call at once, so that the others notice an outage as early as it does. A call that was cancelled is not taken for a failed one.

--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -50,7 +50,8 @@
 # rate limit.
 _LOAD_JITTER_S = 0.2
 _RETRY_BACKOFF_S = (0.25, 1.0)  # Shortest and longest pause after a failed call, without jitter.
-# The store counts as unavailable if no host of the zone has read it for this long.
+# The store counts as unavailable if no host of the zone has read it for this long and a call to it
+# has failed.
 _OUTAGE_DETECTION_S = 2.0
 # An outage that a peer reports is believed if this host has heard of no read for this long. It is
 # shorter than the time of detection, as hosts learn of the last read before an outage up to one
@@ -359,21 +360,27 @@
     async def _call_store(self, call: Awaitable[_Result]) -> _Result:
         """Awaits a call to the store and records whether the store responds."""
         self.counters["calls"] += 1
-        reached = False
         try:
             result = await call
-            reached = True
-            return result
         except OffsetTrimmed:
-            reached = True
+            self._record_call(reached=True)
             raise
-        finally:
-            if reached != self.reaches_store:
-                self.reaches_store = reached
-                self._read_order_expires_s = float("-inf")
-                _log.info("the store is {}", "reachable" if reached else "unreachable")
-            if reached and self._store_lost:
-                self._on_store_recovered(0.0)
+        except Exception:
+            # A cancelled call is not evidence of a failure.
+            self._record_call(reached=False)
+            raise
+        self._record_call(reached=True)
+        return result
+
+    def _record_call(self, *, reached: bool) -> None:
+        if reached != self.reaches_store:
+            self.reaches_store = reached
+            self._read_order_expires_s = float("-inf")
+            _log.info("the store is {}", "reachable" if reached else "unreachable")
+            if not reached:
+                self._exchange.send_beacon()
+        if reached and self._store_lost:
+            self._on_store_recovered(0.0)
 
     # Peers
 
@@ -552,12 +559,21 @@
             _log.info("instance {} of {} is {}", key, instance.service, state)
 
     def _check_outage(self, now_s: float) -> None:
-        if not self._store_lost and self.loaded and now_s - self.last_read_s > _OUTAGE_DETECTION_S:
+        silent = now_s - self.last_read_s > _OUTAGE_DETECTION_S
+        if self._store_lost and not silent:
+            self._on_store_recovered(now_s - self.last_read_s)
+        elif not self._store_lost and self.loaded and silent and self._has_failed_call():
             self._store_lost = True
             self._directory.on_store_lost()
             _log.warning("store outage: no host of the zone has read for {} s", _OUTAGE_DETECTION_S)
-        elif self._store_lost and now_s - self.last_read_s <= _OUTAGE_DETECTION_S:
-            self._on_store_recovered(now_s - self.last_read_s)
+
+    def _has_failed_call(self) -> bool:
+        """Returns whether the last call to the store of any live host of the zone has failed.
+
+        If none has, the zone is silent because the hosts that read have been lost.
+        """
+        hosts = self._exchange.alive()
+        return not self.reaches_store or any(not host.beacon.reaches_store for host in hosts)
 
     def _on_store_recovered(self, since_s: float) -> None:
         self._store_lost = False
