--- a/anviltray/decisions/instances/_directory.py
+++ b/anviltray/decisions/instances/_directory.py
@@ -103,7 +103,7 @@
         """Drains an instance that has stated in a response that it is about to end.
 
         It remains drained until it starts again, whatever records of this start arrive later, also
-        if it is not registered at the moment. Returns whether it was usable or may have become so.
+        if it is not registered at the moment. Returns whether this was not known yet.
         """
         key, started_unix_ms = instance.id, instance.started_unix_ms
         current = self._instances.get(key)
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -393,8 +393,8 @@
     def _handle_changes(self, message: InstanceChanges) -> None:
         since_s = self._loop.time() - self._recovered_s
         since_return_s = max(0.0, message.since_return_s)
-        reported = since_return_s < since_s - _RECOVERY_TOLERANCE_S
-        if self._store_lost or (reported and self.read_age_s() > _OUTAGE_CONFIRMATION_S):
+        newer_recovery = since_return_s < since_s - _RECOVERY_TOLERANCE_S
+        if self._store_lost or (newer_recovery and self.read_age_s() > _OUTAGE_CONFIRMATION_S):
             self._on_store_recovered(since_return_s)
         if message.from_offset <= self.instances_offset < message.next_offset:
             self._apply_changes(message.changes, message.next_offset)
