Write down the timeline of the incident, with a soak that shows it

Change: the timeline and the hypotheses in docs/incidents/. standins.soak runs edge hosts as processes, with callers that keep their connections, instances that reject, leave, reset and are replaced, outages of the store in which registrations lapse, and hosts that are stopped, killed and suspended, by a seeded plan. No logic of the product changes.

--- /dev/null
+++ b/standins/soak/_callers.py
@@ -0,0 +1,106 @@
+"""Callers of one availability zone, which keep their connections open."""
+
+import asyncio
+import contextlib
+from random import Random
+
+import aiohttp
+
+from standins.soak._deployment import (
+    CALLER_PORT,
+    DIRECTORY_PORT,
+    ROUTE_HOST,
+    Deployment,
+    RouteKind,
+)
+from standins.soak._rules import SentRequest
+
+_LOOKUP_TIMEOUT_S = 1.0
+_KEEP_ALIVE_S = 10.0
+
+
+class ZoneCallers:
+    """Sends the requests of one zone, open loop with Poisson arrivals."""
+
+    def __init__(self, deployment: Deployment, zone: str, rng: Random) -> None:
+        self._deployment, self._zone, self._rng = deployment, zone, rng
+        self._directories = [host.ip for host in deployment.hosts if host.zone == zone]
+        self._addresses: list[str] = []
+        self._sent = 0
+        self._running: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Sends requests until it is cancelled."""
+        routes = self._deployment.topology.routes
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=_KEEP_ALIVE_S)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            try:
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self._refresh_addresses(session))
+                    for name, kind in routes.items():
+                        group.create_task(self._send_steadily(session, name, kind))
+            finally:
+                for task in self._running:
+                    task.cancel()
+                await asyncio.gather(*self._running, return_exceptions=True)
+
+    async def _refresh_addresses(self, session: aiohttp.ClientSession) -> None:
+        while True:
+            lifetime_s = 0.2
+            host = self._rng.choice(self._directories)
+            url = f"http://{host}:{DIRECTORY_PORT}/v1/resolve?name={ROUTE_HOST}&zone={self._zone}"
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                async with asyncio.timeout(_LOOKUP_TIMEOUT_S), session.get(url) as response:
+                    if response.status == 200:
+                        document = await response.json()
+                        self._addresses = [
+                            address.removesuffix(f":{CALLER_PORT}")
+                            for address in document["addresses"]
+                        ]
+                        lifetime_s = document["ttlS"]
+            await asyncio.sleep(lifetime_s)
+
+    async def _send_steadily(
+        self, session: aiohttp.ClientSession, name: str, kind: RouteKind
+    ) -> None:
+        rate_per_s = kind.rate_per_s / len(self._deployment.topology.zones)
+        while True:
+            await asyncio.sleep(self._rng.expovariate(rate_per_s))
+            if self._addresses:
+                task = asyncio.create_task(self._send(session, name, kind))
+                self._running.add(task)
+                task.add_done_callback(self._running.discard)
+
+    async def _send(self, session: aiohttp.ClientSession, name: str, kind: RouteKind) -> None:
+        now_s = self._deployment.now_s
+        self._sent += 1
+        request_id = f"{self._zone}-{self._sent:06d}"
+        host = self._rng.choice(self._addresses)
+        headers = {
+            "Host": ROUTE_HOST,
+            "Request-Id": request_id,
+            "Deadline-Ms": str(int(kind.timeout_s * 1000)),
+        }
+        method, body = ("GET", None) if kind.idempotent else ("POST", b"x" * 1200)
+        sent_s = now_s()
+        ended_s, status, leaving = sent_s, 0, ""
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with (
+                asyncio.timeout(kind.timeout_s + 1.0),
+                session.request(
+                    method,
+                    f"http://{host}:{CALLER_PORT}/{name}/{self._sent}",
+                    headers=headers,
+                    data=body,
+                ) as response,
+            ):
+                ended_s = now_s()
+                status = response.status
+                if response.headers.get("Server-Leaving") == "1":
+                    leaving = response.headers.get("Instance-Id", "")
+                await response.read()
+        self._deployment.observations.sent.append(
+            SentRequest(
+                request_id, kind.service, host, sent_s, ended_s, status, leaving, kind.timeout_s
+            )
+        )
--- /dev/null
+++ b/standins/soak/_plan.py
@@ -0,0 +1,168 @@
+"""Seeded plans of disturbances."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from random import Random
+from typing import NamedTuple, TypeVar
+
+from standins.soak._deployment import Deployment
+from standins.soak._instance import Instance
+from standins.store import StoreConditions
+
+_Item = TypeVar("_Item")
+_FIRST_EVENT_S = 4.0
+_LAPSE_S = 4.5  # Three heartbeats without a report.
+_OUTAGES = {
+    "503": StoreConditions(status=503),
+    "resets": StoreConditions(resets=True),
+    "silent": StoreConditions(silent=True),
+}
+_LINGER_S = 6.0  # Time for which a leaving instance still serves.
+
+
+class Event(NamedTuple):
+    """One disturbance."""
+
+    at_s: float  # Seconds since the start of the run.
+    kind: str  # Key of `EVENTS`.
+    seed: int  # Of its random choices.
+
+
+Handler = Callable[[Deployment, Random], Awaitable[str]]
+EVENTS: dict[str, Handler] = {}
+
+
+def event(kind: str) -> Callable[[Handler], Handler]:
+    """Registers what happens at an event; the handler returns a description when it is over."""
+
+    def register(function: Handler) -> Handler:
+        EVENTS[kind] = function
+        return function
+
+    return register
+
+
+def build_plan(
+    seed: int, duration_s: float, kinds: Sequence[str], interval_s: float
+) -> tuple[Event, ...]:
+    """Returns events of all `kinds` in random order, one per `interval_s` on average."""
+    rng = Random(seed)
+    events: list[Event] = []
+    at_s = _FIRST_EVENT_S
+    remaining: list[str] = []
+    while at_s < duration_s:
+        if not remaining:
+            remaining = rng.sample(kinds, len(kinds))
+        events.append(Event(at_s, remaining.pop(), rng.getrandbits(32)))
+        at_s += rng.uniform(0.5, 1.5) * interval_s
+    return tuple(events)
+
+
+def _share(rng: Random, items: Sequence[_Item], low: float, high: float) -> list[_Item]:
+    count = max(1, round(rng.uniform(low, high) * len(items))) if items else 0
+    return rng.sample(list(items), count)
+
+
+def _sound_instances(deployment: Deployment, rng: Random) -> list[Instance]:
+    """Returns the instances of one service that are not leaving."""
+    service = rng.choice(sorted(deployment.topology.instances))
+    return [
+        each
+        for each in deployment.instances
+        if each.service == service and not each.conditions.leaving
+    ]
+
+
+@event("reject")
+async def _reject(deployment: Deployment, rng: Random) -> str:
+    """Instances reject all requests and name the time to wait."""
+    instances = _share(rng, _sound_instances(deployment, rng), 0.3, 1.0)
+    retry_after_s, for_s = rng.choice((1.5, 3.0, 4.0)), rng.uniform(3.0, 8.0)
+    for each in instances:
+        each.conditions = each.conditions._replace(retry_after_s=retry_after_s)
+    await asyncio.sleep(for_s)
+    for each in instances:
+        each.conditions = each.conditions._replace(retry_after_s=0.0)
+    return f"{len(instances)} instances rejected requests, Retry-After {retry_after_s:g}"
+
+
+@event("reset")
+async def _reset(deployment: Deployment, rng: Random) -> str:
+    """Instances reset a part of the requests that they run."""
+    instances = _share(rng, _sound_instances(deployment, rng), 0.2, 0.6)
+    for each in instances:
+        each.conditions = each.conditions._replace(reset_share=0.7)
+    await asyncio.sleep(rng.uniform(3.0, 8.0))
+    for each in instances:
+        each.conditions = each.conditions._replace(reset_share=0.0)
+    return f"{len(instances)} instances reset requests"
+
+
+@event("leave")
+async def _leave(deployment: Deployment, rng: Random) -> str:
+    """Instances are replaced; their reports may not reach the store."""
+    instances = _share(rng, _sound_instances(deployment, rng), 0.1, 0.4)
+    report = rng.choice(("draining", "unannounced", "cut off"))
+    for each in instances:
+        await deployment.add_instance(each.service, each.zone)
+    for each in instances:
+        each.conditions = each.conditions._replace(leaving=True)
+        if report == "draining":
+            each.register("draining")
+        elif report == "unannounced":
+            each.deregister()
+    await asyncio.sleep(_LAPSE_S)
+    if report == "cut off":
+        for each in instances:
+            each.deregister()
+    await asyncio.sleep(_LINGER_S)
+    for each in instances:
+        if report == "draining":
+            each.deregister()
+        each.started = False
+        await each.close()
+    return f"{len(instances)} instances have left, {report}"
+
+
+@event("outage")
+async def _outage(deployment: Deployment, rng: Random) -> str:
+    """The store is away, and registrations lapse meanwhile; sound instances renew them."""
+    kind = rng.choice(sorted(_OUTAGES))
+    deployment.store.conditions = _OUTAGES[kind]
+    await asyncio.sleep(_LAPSE_S)
+    lapsed = _share(rng, _sound_instances(deployment, rng), 0.2, 0.5)
+    for each in lapsed:
+        each.deregister()
+    deployment.store.conditions = StoreConditions()
+    await asyncio.sleep(rng.uniform(0.3, 1.8))
+    for each in lapsed:
+        if not each.conditions.leaving:
+            each.register()
+    return f"the store was away ({kind}), {len(lapsed)} registrations lapsed"
+
+
+@event("terminate")
+async def _terminate(deployment: Deployment, rng: Random) -> str:
+    """Hosts are restarted in turn."""
+    hosts = _share(rng, deployment.hosts, 0.1, 0.25)
+    for host in hosts:
+        if host.process.running:
+            await deployment.restart_host(host, host.process.terminate, 0.2)
+    return f"{len(hosts)} hosts were restarted"
+
+
+@event("kill")
+async def _kill(deployment: Deployment, rng: Random) -> str:
+    """Hosts are killed at the same time and start again."""
+    hosts = [host for host in _share(rng, deployment.hosts, 0.1, 0.5) if host.process.running]
+    await asyncio.gather(*(deployment.restart_host(host, host.process.kill, 0.5) for host in hosts))
+    return f"{len(hosts)} hosts were killed and started again"
+
+
+@event("suspend")
+async def _suspend(deployment: Deployment, rng: Random) -> str:
+    """Hosts stand still for some seconds."""
+    hosts = [host for host in _share(rng, deployment.hosts, 0.05, 0.2) if host.process.running]
+    for_s = rng.uniform(1.0, 4.0)
+    await asyncio.gather(*(deployment.suspend_host(host, for_s) for host in hosts))
+    return f"{len(hosts)} hosts were suspended for {for_s:.1f} s"
