Name the reason of failed calls that have no message

Cause: the users' record has "reading the registrations failed: /v1/log-read: " without a reason. The text was `error or type(error)`, and an exception is always true, so the type was never used; timeouts have no message. The record cannot tell a silent store from another failure.

Change: describe_error, used in the four places with this expression.

--- a/anviltray/platform/_transport.py
+++ b/anviltray/platform/_transport.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from anviltray.platform._interface import PlatformError, PlatformUnavailable
+from anviltray.telemetry import describe_error
 
 
 class ResponseLost(PlatformError):
@@ -48,7 +49,7 @@
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             # The connection may be dead, and so may the idle ones of the pool.
             await self.close()
-            raise ResponseLost(f"{path}: {error or type(error).__name__}") from error
+            raise ResponseLost(f"{path}: {describe_error(error)}") from error
 
     async def close(self) -> None:
         """Closes all connections; the next call opens a new one."""
--- a/anviltray/platform/tests/test_store.py
+++ b/anviltray/platform/tests/test_store.py
@@ -133,3 +133,22 @@
             await store.append("keyed.t", "a", b"1")
 
     run(test)
+
+
+@pytest.mark.parametrize(
+    ("conditions", "reason"),
+    [
+        (StoreConditions(silent=True), "TimeoutError"),
+        (StoreConditions(resets=True), "Server disconnected"),
+        (StoreConditions(status=503), "status 503"),
+    ],
+)
+def test_failure_names_its_reason(conditions, reason):
+    """A timeout has no message of its own."""
+
+    async def test(store, standin):
+        standin.conditions = conditions
+        with pytest.raises(PlatformUnavailable, match=reason):
+            await store.read("keyed.t", 0, 0.0)
+
+    run(test)
--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -22,6 +22,7 @@
 from yarl import URL
 
 from anviltray.settings import UpstreamSettings
+from anviltray.telemetry import describe_error
 from anviltray.upstreams._acknowledgement import is_acknowledged
 from anviltray.upstreams._connector import UpstreamConnector
 from anviltray.upstreams._dialect import NO_SIGNALS, Dialect, Signals
@@ -279,7 +280,7 @@
                 # A response that was received completely has returned its connection to the pool.
                 self.close_idle(address)
             if isinstance(error, _TRANSPORT_ERRORS):
-                raise ExchangeBroken(f"{address}: {error or type(error).__name__}") from error
+                raise ExchangeBroken(f"{address}: {describe_error(error)}") from error
             raise
 
     async def _connect(
@@ -302,7 +303,7 @@
         try:
             return await self._connector.open(message, key, self._connect_timeout)
         except _TRANSPORT_ERRORS as error:
-            raise ConnectFailed(f"{address}: {error or type(error).__name__}") from error
+            raise ConnectFailed(f"{address}: {describe_error(error)}") from error
 
     def _build_response(
         self, request: UpstreamRequest, response: ClientResponse
--- a/anviltray/zone/_snapshots.py
+++ b/anviltray/zone/_snapshots.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from anviltray.messages import MessageError, StoreSnapshot, decode_message, encode_message
+from anviltray.telemetry import describe_error
 
 SNAPSHOT_PATH = "/.anviltray/snapshot"
 SNAPSHOT_CODING = "deflate"  # HTTP content coding of a snapshot (RFC 9110, 8.4.1.2).
@@ -40,7 +41,7 @@
                 raise SnapshotUnavailable(f"{address}: status {response.status}")
             message = decode_message(await response.read())
     except (TimeoutError, aiohttp.ClientError, OSError, MessageError) as error:
-        raise SnapshotUnavailable(f"{address}: {error or type(error).__name__}") from error
+        raise SnapshotUnavailable(f"{address}: {describe_error(error)}") from error
     if not isinstance(message, StoreSnapshot):
         raise SnapshotUnavailable(f"{address}: expected a snapshot, found another message type")
     return message
