Log what distinguishes the hypotheses on BUDGET

Cause: the logs of a host cannot tell the readings of BUDGET apart. A rejection does not say whether the instance asked to wait, and neither the number of repeats nor the state of the retry budget can be seen.

Change: an attempt's log entry has the Retry-After of the instance that rejected it; anviltray_attempts_total counts first attempts and repeats by service; the statistics have the usage of the retry budgets and the fleet size by which they are divided. No request is handled differently otherwise.

--- a/anviltray/decisions/retries/_budget.py
+++ b/anviltray/decisions/retries/_budget.py
@@ -11,6 +11,15 @@
     attempts: int  # Extra attempts.
 
 
+class BudgetUsage(NamedTuple):
+    """State of a budget, for logs."""
+
+    requests: int  # Requests in the window.
+    used: int  # Extra attempts in the window.
+    lent: int  # Extra attempts that other hosts have got and may use.
+    allowed: float  # Limit for those that are used and lent.
+
+
 class RetryBudget:
     """Allows extra attempts up to a share of the requests in a sliding window.
 
@@ -69,6 +78,13 @@
         self._advance(now_s)
         return self._own_remaining() + sum(loan.attempts for loan in self._borrowed)
 
+    def usage(self, now_s: float) -> BudgetUsage:
+        """Returns what the budget consists of and what is used."""
+        self._advance(now_s)
+        return BudgetUsage(
+            self._request_total, self._used_total, self._lent_total, round(self._allowed, 2)
+        )
+
     def lend(self, now_s: float, attempts: int, lifetime_s: float) -> int:
         """Takes up to `attempts` out of the budget for another host; returns how many.
 
@@ -86,9 +102,12 @@
         """Adds attempts of another host, which must be used before `expires_s`."""
         self._borrowed.append(_Loan(expires_s, attempts))
 
+    @property
+    def _allowed(self) -> float:
+        return max(self._minimum, self._share * self._request_total + self.slack)
+
     def _own_remaining(self) -> float:
-        allowed = max(self._minimum, self._share * self._request_total + self.slack)
-        return allowed - self._used_total - self._lent_total
+        return self._allowed - self._used_total - self._lent_total
 
     def _advance(self, now_s: float) -> None:
         while self._lent and self._lent[0].expires_s <= now_s:
--- a/anviltray/edge/_attempt.py
+++ b/anviltray/edge/_attempt.py
@@ -35,6 +35,7 @@
         "on_evidence",
         "on_unacknowledged",
         "placed",
+        "retry_after_s",
         "started_s",
         "written",
     )
@@ -57,6 +58,7 @@
         self._ended = False
         self.placed = placed
         self.fresh_connection: bool | None = None  # None until a connection was chosen.
+        self.retry_after_s = 0.0  # Time for which the instance wants no other request.
         self.written = False  # False only if it is certain that no byte was written.
         # Called when there is evidence that the other hosts of the zone have not received yet.
         self.on_evidence: Callable[[], None] = lambda: None
--- a/anviltray/edge/_call.py
+++ b/anviltray/edge/_call.py
@@ -22,6 +22,7 @@
         "history",
         "received_s",
         "route",
+        "sent",
         "service",
         "timed_out",
     )
@@ -47,6 +48,7 @@
         self.expires_s = self.received_s + min(head.deadline_s, route.timeout_s)
         self.history: list[dict[str, Any]] = []  # Attempts and placement inputs, for the log.
         self.timed_out = False
+        self.sent = False  # Whether an attempt may have reached an instance.
         # False while a non-idempotent request may be running; it then continues without its caller.
         self.cancellable = True
         self._task = asyncio.current_task()
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -1,7 +1,6 @@
 """Proxies caller requests: routing, instance selection, retries and the response."""
 
 import asyncio
-import math
 
 import logbook
 
@@ -23,6 +22,7 @@
 from anviltray.edge._loans import RetryLoans
 from anviltray.edge._metrics import EdgeMetrics
 from anviltray.edge._state import EdgeState
+from anviltray.platform import decode_statements
 from anviltray.settings import CallerSettings
 from anviltray.upstreams import (
     MISDIRECTED,
@@ -85,15 +85,6 @@
     return result is None
 
 
-def _parse_limit(value: bytes | None) -> float:
-    """Returns a limit in requests per second; infinity if there is none or it is invalid."""
-    try:
-        limit_per_s = math.inf if value is None else float(value)
-    except ValueError:
-        return math.inf
-    return limit_per_s if limit_per_s >= 0 else math.inf
-
-
 class _Progress:
     """Accumulated results of the attempts of one request."""
 
@@ -128,10 +119,7 @@
 
 
 class EdgeDispatcher:
-    """ASGI application that proxies the requests of one host.
-
-    The names of the platform's headers are arguments.
-    """
+    """ASGI application that proxies the requests of one host."""
 
     def __init__(
         self,
@@ -141,10 +129,8 @@
         settings: CallerSettings,
         caller_headers: CallerHeaders,
         instance_header: str,
-        seal_header: str,
-        limit_header: str,
-        leaving_header: str,
     ) -> None:
+        """`instance_header` names the instance that may run a request."""
         self._state = state
         self._loans = loans
         self._metrics = metrics
@@ -154,9 +140,6 @@
         self._load_due_s = self._loop.time() + _LOAD_GRACE_S
         self.set_limits(settings)
         self._instance_header = instance_header
-        self._seal_name = seal_header.lower().encode()
-        self._limit_name = limit_header.lower().encode()
-        self._leaving_name = leaving_header.lower().encode()
 
     def set_limits(self, settings: CallerSettings) -> None:
         """Applies the size limits and timeouts for requests."""
@@ -469,6 +452,11 @@
             recorder.finish(ExchangeOutcome.ABANDONED)
             raise
         finally:
+            if recorder.written:
+                self._metrics.record_attempt(call.service, repeat=call.sent)
+                call.sent = True
+            if recorder.retry_after_s:
+                entry["retry_after_s"] = recorder.retry_after_s
             entry["new_connection"] = recorder.fresh_connection
             entry["ms"] = round((self._loop.time() - recorder.started_s) * 1000)
         entry["result"] = (
@@ -544,17 +532,18 @@
         self, call: EdgeCall, recorder: AttemptRecorder, response: UpstreamResponse
     ) -> AttemptResult | None:
         """Reads a response and classifies the result of the attempt."""
-        fields = dict(response.headers)
+        statements = decode_statements(response.status, response.headers)
         if response.status == MISDIRECTED:
             recorder.finish(ExchangeOutcome.ABANDONED)
             self._state.directory.mark_misdirected(recorder.placed.instance)
             call.cancellable = True
             return NotExecuted("misdirected")
-        recorder.report_limit(_parse_limit(fields.get(self._limit_name)))
-        if 200 <= response.status < 300 and self._seal_name not in fields:
+        recorder.report_limit(statements.limit_per_s)
+        if 200 <= response.status < 300 and not statements.sealed:
             raise InvalidResponse("a success without the seal of the instance")
-        if fields.get(self._leaving_name, b"").strip() == b"1":
+        if statements.leaving:
             self._drain_instance(call, recorder.placed.instance)
+        recorder.retry_after_s = statements.retry_after_s
         if response.signals.refused:
             recorder.finish(ExchangeOutcome.REFUSED)
             call.cancellable = True
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -106,9 +106,6 @@
                 names.REQUEST_ID_HEADER.lower().encode(), names.DEADLINE_HEADER.lower().encode()
             ),
             names.EXPECTED_INSTANCE_HEADER,
-            names.SEAL_HEADER,
-            names.LIMIT_HEADER,
-            names.LEAVING_HEADER,
         )
         self._slack_timer: asyncio.TimerHandle | None = None
         self._serving_zone = ServingZone(self.state, self.exchange)
@@ -404,6 +401,8 @@
                         "zone": dict(self.exchange.counters),
                         "store": dict(self.follower.counters),
                         "hosts": len(self.exchange.alive()),
+                        "fleet_size": self.state.fleet_size,
+                        "retries": self.state.retry_usage(),
                         "read_age_s": round(self.follower.read_age_s(), 2),
                     },
                 )
--- a/anviltray/edge/_metrics.py
+++ b/anviltray/edge/_metrics.py
@@ -45,6 +45,12 @@
             buckets=_LATENCY_BOUNDS_S,
             registry=self._registry,
         )
+        self._attempts = Counter(
+            "anviltray_attempts",
+            "Requests sent to instances by service; repeats are all but the first of a request",
+            ["service", "repeat"],
+            registry=self._registry,
+        )
         self._events = Counter(
             "anviltray_events", "Other events by name", ["event"], registry=self._registry
         )
@@ -56,6 +62,10 @@
         self._requests.labels(service, str(status)).inc()
         self._latency.labels(service).observe(latency_s)
 
+    def record_attempt(self, service: str, *, repeat: bool) -> None:
+        """Records that a request was sent to an instance, or may have been."""
+        self._attempts.labels(service, str(repeat).lower()).inc()
+
     def count(self, event: str) -> None:
         """Increments the counter of an event."""
         self._events.labels(event).inc()
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -120,6 +120,14 @@
             budget.slack = self._usable_slack
         return budget
 
+    def retry_usage(self) -> dict[str, dict[str, float]]:
+        """Returns the usage of this host's retry budgets by service, for logs."""
+        now_s = self.clock.now_s()
+        return {
+            service: budget.usage(now_s)._asdict()
+            for service, budget in sorted(self._budgets.items())
+        }
+
     @property
     def slack_delay_s(self) -> float:
         """Seconds after a start in which the slack spent by a previous process still counts.
--- a/anviltray/edge/tests/test_operations.py
+++ b/anviltray/edge/tests/test_operations.py
@@ -52,6 +52,36 @@
         assert found["sends"][-1]["shed"]["candidates"] == 0
 
 
+@pytest.mark.parametrize(
+    ("status", "retry_after", "logged"),
+    [
+        ("503 Service Unavailable", "1.5", 1.5),
+        ("503 Service Unavailable", "soon", None),
+        ("429 Too Many Requests", "1.5", None),
+    ],
+)
+def test_request_rejected_by_an_instance_that_names_a_wait(tmp_path, status, retry_after, logged):
+    async def test(fleet):
+        await fleet.call("POST /order/1", b"x", request_id="wait")
+
+    headers = f"Not-Executed: 1\r\nRetry-After: {retry_after}\r\n"
+    found = request_line(logged_lines(tmp_path, test, respond(status, b"", headers)), "wait")
+    assert found["sends"][0].get("retry_after_s") == logged
+
+
+def test_attempts_and_budget_tell_repeats_from_first_attempts(tmp_path):
+    async def test(fleet):
+        await fleet.call("POST /order/1", b"x")
+        metrics = (await fleet.page("/metrics")).body.decode()
+        assert 'anviltray_attempts_total{repeat="false",service="keeper"} 1.0' in metrics
+        assert 'anviltray_attempts_total{repeat="true",service="keeper"} 1.0' in metrics
+        usage = fleet.hosts[0].state.retry_usage()["keeper"]
+        assert (usage["requests"], usage["used"], usage["lent"]) == (1, 1, 0)
+        assert usage["allowed"] > 1
+
+    logged_lines(tmp_path, test, refuse(), refuse())
+
+
 def test_requests_around_a_configuration_change(tmp_path):
     async def test(fleet):
         assert (await fleet.call("GET /none/1", request_id="early")).status == 404
--- a/anviltray/platform/__init__.py
+++ b/anviltray/platform/__init__.py
@@ -30,6 +30,11 @@
     RecordBatch,
 )
 from anviltray.platform._memory import MemoryPlatform
+from anviltray.platform._statements import (
+    MAX_RETRY_AFTER_S,
+    InstanceStatements,
+    decode_statements,
+)
 from anviltray.platform._store import KeyedStore
 
 __all__ = [
@@ -41,8 +46,10 @@
     "HostEntry",
     "HostSettingsError",
     "HttpPlatform",
+    "InstanceStatements",
     "KeyedRecord",
     "KeyedStore",
+    "MAX_RETRY_AFTER_S",
     "MemoryPlatform",
     "NewestRecords",
     "OffsetTrimmed",
@@ -54,6 +61,7 @@
     "RecordBatch",
     "decode_configuration",
     "decode_instance",
+    "decode_statements",
     "encode_addresses",
     "load_host_settings",
     "names",
--- a/anviltray/platform/_names.py
+++ b/anviltray/platform/_names.py
@@ -12,6 +12,8 @@
 LIMIT_HEADER = "Server-Limit"
 # "1" in all responses of an instance that is about to end.
 LEAVING_HEADER = "Server-Leaving"
+# Seconds for which an instance that rejects a request wants no other one from the same host.
+RETRY_AFTER_HEADER = "Retry-After"
 
 # Statuses with which an instance refuses a request unexecuted, if NOT_EXECUTED_HEADER is present.
 REFUSAL_STATUSES = (400, 429, 503)
--- a/standins/soak/_deployment.py
+++ b/standins/soak/_deployment.py
@@ -1,9 +1,10 @@
 """Edge hosts as processes in several availability zones, with a store and instances."""
 
 import asyncio
+import contextlib
 import json
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from pathlib import Path
 from typing import NamedTuple
 
@@ -76,6 +77,7 @@
 
     def __init__(self, ip: str, zone: str, process: ManagedProcess) -> None:
         self.ip, self.zone, self.process = ip, zone, process
+        self.disturbed = False  # An event is stopping, suspending or starting it.
 
 
 class Deployment:
@@ -159,22 +161,24 @@
 
     async def restart_host(self, host: Host, stop: Callable[[], None], pause_s: float) -> None:
         """Stops a host by `stop`, which terminates or kills its process, and starts it again."""
-        from_s = self.now_s()
-        stop()
-        await poll_until(lambda: not host.process.running, _GRACE_S + 2.0)
-        await asyncio.sleep(pause_s)
-        host.process.start()
-        self._record_disturbance(host, from_s)
+        with self._disturbance(host):
+            stop()
+            await poll_until(lambda: not host.process.running, _GRACE_S + 2.0)
+            await asyncio.sleep(pause_s)
+            host.process.start()
 
     async def suspend_host(self, host: Host, for_s: float) -> None:
         """Suspends the process of a host."""
-        from_s = self.now_s()
-        host.process.pause()
-        await asyncio.sleep(for_s)
-        host.process.resume()
-        self._record_disturbance(host, from_s)
-
-    def _record_disturbance(self, host: Host, from_s: float) -> None:
+        with self._disturbance(host):
+            host.process.pause()
+            await asyncio.sleep(for_s)
+            host.process.resume()
+
+    @contextlib.contextmanager
+    def _disturbance(self, host: Host) -> Iterator[None]:
+        from_s, host.disturbed = self.now_s(), True
+        yield
+        host.disturbed = False
         self.observations.disturbances.append(HostDisturbance(host.ip, from_s, self.now_s()))
 
     async def _wait_ready(self, session: aiohttp.ClientSession, host: Host) -> None:
--- a/standins/soak/_plan.py
+++ b/standins/soak/_plan.py
@@ -146,7 +146,7 @@
     """Hosts are restarted in turn."""
     hosts = _share(rng, deployment.hosts, 0.1, 0.25)
     for host in hosts:
-        if host.process.running:
+        if not host.disturbed:
             await deployment.restart_host(host, host.process.terminate, 0.2)
     return f"{len(hosts)} hosts were restarted"
 
@@ -154,7 +154,7 @@
 @event("kill")
 async def _kill(deployment: Deployment, rng: Random) -> str:
     """Hosts are killed at the same time and start again."""
-    hosts = [host for host in _share(rng, deployment.hosts, 0.1, 0.5) if host.process.running]
+    hosts = [host for host in _share(rng, deployment.hosts, 0.1, 0.5) if not host.disturbed]
     await asyncio.gather(*(deployment.restart_host(host, host.process.kill, 0.5) for host in hosts))
     return f"{len(hosts)} hosts were killed and started again"
 
@@ -162,7 +162,7 @@
 @event("suspend")
 async def _suspend(deployment: Deployment, rng: Random) -> str:
     """Hosts stand still for some seconds."""
-    hosts = [host for host in _share(rng, deployment.hosts, 0.05, 0.2) if host.process.running]
+    hosts = [host for host in _share(rng, deployment.hosts, 0.05, 0.2) if not host.disturbed]
     for_s = rng.uniform(1.0, 4.0)
     await asyncio.gather(*(deployment.suspend_host(host, for_s) for host in hosts))
     return f"{len(hosts)} hosts were suspended for {for_s:.1f} s"
