Send nothing to an instance while it has asked this host to wait

Cause: Retry-After of an instance was read nowhere. A rejection only raised the estimated load of the instance, with a half-life of 0.5 s.

Change: a valid 503 with Retry-After sets a backoff for its instance in the directory. Placement asks for it in the one place that also asks for the rate limit, which first attempts, repeats, second attempts and exploration share, so no path goes around it. The backoff belongs to one start of the instance and outlives its registration; it never gets shorter. If no other instance is left, requests are rejected at once, with a Retry-After that ends with the first wait.

--- a/anviltray/decisions/instances/_directory.py
+++ b/anviltray/decisions/instances/_directory.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from types import MappingProxyType
+from typing import NamedTuple
 
 from anviltray.declarations import Instance
 
@@ -13,6 +14,11 @@
 _DRAINED_RETENTION_S = 120.0
 
 
+class _Backoff(NamedTuple):
+    started_unix_ms: int  # Start of the instance that asked for it.
+    until_s: float  # Time from which the instance may get requests again.
+
+
 class InstanceDirectory:
     """Registered instances by service.
 
@@ -27,6 +33,8 @@
         self._misdirected: dict[str, Instance] = {}  # Registrations whose address was reused.
         self._warming_until: dict[str, float] = {}  # End of the warm-up after the start.
         self._drained: dict[str, tuple[int, float]] = {}  # Start and removal of drained instances.
+        # Kept independently of the registration, which may lapse and return.
+        self._backoffs: dict[str, _Backoff] = {}
         self._by_service: dict[str, tuple[Instance, ...]] = {}
         self._outage = False
         self._recovered_s = float("-inf")  # Time of the last recovery of the store.
@@ -117,6 +125,29 @@
         self._by_service.clear()
         return True
 
+    def set_backoff(self, now_s: float, instance: Instance, duration_s: float) -> bool:
+        """Keeps requests from an instance that has asked this host to wait.
+
+        A later, shorter wait does not replace a longer one, and a new start of the instance ends
+        it. Returns whether the instance got requests before.
+
+        Example: after `set_backoff(5.0, instance, 2.0)`, `backoff_until_s(instance)` is 7.0.
+        """
+        current = self._backoffs.get(instance.id)
+        if current is not None and current.started_unix_ms > instance.started_unix_ms:
+            return False
+        previous_s = self.backoff_until_s(instance)
+        until_s = max(previous_s, now_s + duration_s)
+        self._backoffs[instance.id] = _Backoff(instance.started_unix_ms, until_s)
+        return previous_s <= now_s
+
+    def backoff_until_s(self, instance: Instance) -> float:
+        """Returns the time from which an instance may get requests, as far as it has asked."""
+        backoff = self._backoffs.get(instance.id)
+        if backoff is None or backoff.started_unix_ms != instance.started_unix_ms:
+            return float("-inf")
+        return backoff.until_s
+
     def on_store_lost(self) -> None:
         """Records that the store is unreachable."""
         self._outage = True
@@ -129,13 +160,18 @@
             self._renewable_until[key] = now_s + RENEWAL_GRACE_S
 
     def expire(self, now_s: float) -> tuple[str, ...]:
-        """Removes expired registrations that were not renewed in time and returns their ids."""
+        """Removes expired registrations that were not renewed in time and returns their ids.
+
+        Also drops state that no longer has an effect.
+        """
         oldest_s = now_s - _DRAINED_RETENTION_S
         expired = tuple(key for key, until_s in self._renewable_until.items() if until_s <= now_s)
         for key in expired:
             self._delete(key)
         for key in [key for key, (_, removed_s) in self._drained.items() if removed_s < oldest_s]:
             del self._drained[key]
+        for key in [key for key, backoff in self._backoffs.items() if backoff.until_s <= now_s]:
+            del self._backoffs[key]
         return expired
 
     def _can_be_renewed(self, now_s: float) -> bool:
--- a/anviltray/decisions/instances/tests/test_directory.py
+++ b/anviltray/decisions/instances/tests/test_directory.py
@@ -156,3 +156,38 @@
     assert not directory.is_warming(8.0, "i-1")
     directory.register(20.0, ONE._replace(started_unix_ms=2000, warmup_s=3.0))
     assert directory.is_warming(22.0, "i-1")
+
+
+RESTARTED = ONE._replace(started_unix_ms=2000)
+
+
+@pytest.mark.parametrize(
+    ("waits", "until_s"),
+    [
+        ([(0.0, ONE, 4.0)], 4.0),
+        # A shorter wait that is named later does not replace a longer one.
+        ([(0.0, ONE, 4.0), (1.0, ONE, 1.0)], 4.0),
+        ([(0.0, ONE, 4.0), (1.0, ONE, 6.0)], 7.0),
+        ([(0.0, TWO, 4.0)], float("-inf")),
+        # A new start ends the wait, and a late response of the earlier start does not count.
+        ([(0.0, ONE, 4.0), (0.5, RESTARTED, 1.0)], float("-inf")),
+        ([(0.0, RESTARTED, 4.0), (0.5, ONE, 1.0)], float("-inf")),
+    ],
+)
+def test_backoff_holds_for_one_start_until_the_longest_wait_ends(waits, until_s):
+    directory = make_directory(ONE, TWO)
+    for now_s, instance, duration_s in waits:
+        directory.set_backoff(now_s, instance, duration_s)
+    assert directory.backoff_until_s(ONE) == until_s
+
+
+def test_backoff_outlives_a_registration_that_lapses_and_returns():
+    directory = make_directory(ONE)
+    assert directory.set_backoff(0.0, ONE, 4.0)
+    assert not directory.set_backoff(1.0, ONE, 4.0)
+    directory.deregister(1.0, "i-1")
+    directory.register(2.0, ONE)
+    directory.expire(4.9)
+    assert directory.backoff_until_s(ONE) == 5.0
+    directory.expire(5.0)
+    assert directory.set_backoff(5.0, ONE, 1.0)
--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -110,12 +110,15 @@
     candidates: int  # Number of instances considered.
 
 
-class WarmupView(Protocol):
-    """Provides the warm-up state of instances."""
+class InstanceView(Protocol):
+    """Provides what instances have stated about themselves."""
 
     def is_warming(self, now_s: float, key: str) -> bool:
         """See `InstanceDirectory.is_warming`."""
 
+    def backoff_until_s(self, instance: Instance) -> float:
+        """See `InstanceDirectory.backoff_until_s`."""
+
 
 class ConnectionView(Protocol):
     """Provides the idle connections to instances."""
@@ -164,7 +167,7 @@
         locality: Locality,
         zone_regions: dict[str, str],
         tracker: HealthTracker,
-        warmup: WarmupView,
+        instances: InstanceView,
         connections: ConnectionView,
         rng: Random,
         floor_share: float = 0.7,
@@ -173,7 +176,7 @@
         self._locality = locality
         self._zone_regions = zone_regions
         self._tracker = tracker
-        self._warmup = warmup
+        self._instances = instances
         self._connections = connections
         self._rng = rng
         self._floor_share = floor_share
@@ -194,7 +197,7 @@
             if best is None or best.cost > distance_cost:
                 best = self._best(now_s, request, tiers[distance], distance, best)
         if best is None:
-            return Shed(self._retry_after_s(_MIN_RETRY_AFTER_S), 0.0, 0)
+            return Shed(self._retry_after_s(self._wait_s(now_s, request, instances)), 0.0, 0)
         priority = min(request.priority, 2)
         allowed_s = min(
             request.remaining_s * _DEADLINE_SHARES[priority],
@@ -248,9 +251,11 @@
             # Noise, because hosts with the same observations would all choose the same instance.
             noise = _COST_NOISE * random()
             min_cost += failure_cost * health.min_unhealthy_probability + noise
-            if health.rate_limit is not None and health.rate_limit.is_exhausted(now_s):
-                continue
-            if min_cost < limit and instance.id not in request.exclude:
+            if (
+                min_cost < limit
+                and instance.id not in request.exclude
+                and self._accepts(now_s, instance, health)
+            ):
                 candidate = self._candidate(now_s, request, instance, health, distance, noise)
                 if candidate.cost < limit:
                     best, limit = candidate, candidate.cost
@@ -266,7 +271,7 @@
         noise: float = 0.0,
     ) -> _Candidate:
         slots = float(instance.slots)
-        if self._warmup.is_warming(now_s, instance.id):
+        if self._instances.is_warming(now_s, instance.id):
             slots *= _WARMUP_SPEED
         load = (health.total_outstanding + 1) / slots + health.refusal_load(now_s)
         cost = max(0.0, load - 1) + _BUSY_COST * load + _DISTANCE_COST[distance]
@@ -275,6 +280,23 @@
             cost += _CONNECT_COST
         return _Candidate(instance, health, load, cost + noise)
 
+    def _accepts(self, now_s: float, instance: Instance, health: InstanceHealth) -> bool:
+        """Returns whether the instance takes a request now, by its own statements."""
+        if health.rate_limit is not None and health.rate_limit.is_exhausted(now_s):
+            return False
+        return self._instances.backoff_until_s(instance) <= now_s
+
+    def _wait_s(
+        self, now_s: float, request: PlacementRequest, instances: Sequence[Instance]
+    ) -> float:
+        """Returns the time until the first instance that was not tried takes requests again."""
+        waits_s = [
+            self._instances.backoff_until_s(instance) - now_s
+            for instance in instances
+            if instance.id not in request.exclude
+        ]
+        return min(waits_s, default=0.0)
+
     def _distance(self, instance: Instance) -> int:
         if instance.zone == self._locality.zone:
             return 0
@@ -321,7 +343,7 @@
         for instance, health in entries:
             if now_s - health.last_explored_s <= interval_s:
                 continue
-            if health.rate_limit is not None and health.rate_limit.is_exhausted(now_s):
+            if not self._accepts(now_s, instance, health):
                 continue
             last_s = health.last_used_s if exploration.unused else health.last_evidence_s
             if now_s - last_s <= interval_s or instance.id in request.exclude:
--- a/anviltray/decisions/placement/tests/test_placement.py
+++ b/anviltray/decisions/placement/tests/test_placement.py
@@ -240,6 +240,44 @@
     assert host.choose(10.0, placement_request, instances).explores == explores
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {},
+        {"may_explore": True, "retryable": True},
+        {"first_attempt": True, "unrepeatable": True},
+        {"first_attempt": True, "unrepeatable": True, "unserved_share": 0.3},
+        {"may_explore": True, "retryable": True, "unserved_share": 0.3},
+    ],
+)
+def test_no_request_goes_to_an_instance_that_wants_none_for_a_time(changes):
+    """Neither as the best instance nor to explore it, whatever was seen of the others."""
+    host = Host()
+    instances = [instance(number) for number in range(3)]
+    placement_request = request()._replace(**changes)
+    host.directory.set_backoff(0.0, instances[0], 20.0)
+    host.observe(0.0, "i-1", unhealthy=True)
+    for step in range(100):
+        placed = host.choose(0.1 * step, placement_request, instances)
+        assert isinstance(placed, Placed)
+        assert placed.instance.id != "i-0"
+    assert "i-0" in {host.choose(20.0, placement_request, instances).instance.id for _ in range(20)}
+
+
+def test_request_is_shed_until_the_first_instance_takes_requests_again():
+    host = Host()
+    instances = [instance(number) for number in range(3)]
+    for each, wait_s in zip(instances, (3.0, 9.0, 6.0), strict=True):
+        host.directory.set_backoff(0.0, each, wait_s)
+    shed = host.choose(1.0, request(), instances)
+    assert isinstance(shed, Shed)
+    assert 2.0 <= shed.retry_after_s <= 3.0
+    # The first one was tried already.
+    shed = host.choose(1.0, request(exclude=["i-0"]), instances)
+    assert 5.0 <= shed.retry_after_s <= 7.5
+    assert host.choose(3.0, request(), instances).instance.id == "i-0"
+
+
 @pytest.mark.parametrize("instances", [[], [instance(1)]])
 def test_no_candidates_left(instances):
     decision = Host().choose(1.0, request(exclude=["i-1"]), instances)
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -543,7 +543,9 @@
             raise InvalidResponse("a success without the seal of the instance")
         if statements.leaving:
             self._drain_instance(call, recorder.placed.instance)
-        recorder.retry_after_s = statements.retry_after_s
+        if statements.retry_after_s > 0:
+            recorder.retry_after_s = statements.retry_after_s
+            self._set_backoff(call, recorder.placed.instance, statements.retry_after_s)
         if response.signals.refused:
             recorder.finish(ExchangeOutcome.REFUSED)
             call.cancellable = True
@@ -577,6 +579,20 @@
                 },
             )
 
+    def _set_backoff(self, call: EdgeCall, instance: Instance, duration_s: float) -> None:
+        """Keeps requests from an instance that has rejected one and named the time to wait."""
+        if self._state.directory.set_backoff(self._loop.time(), instance, duration_s):
+            self._metrics.count("instance_backoffs")
+            _log.info(
+                "instance wants no requests for a time",
+                extra={
+                    "id": call.head.request_id,
+                    "instance": instance.id,
+                    "service": instance.service,
+                    "retry_after_s": duration_s,
+                },
+            )
+
     async def _stream_response(
         self, call: EdgeCall, recorder: AttemptRecorder, response: UpstreamResponse, first: bytes
     ) -> None:
