Expect the line of a backoff beside that of its request

Cause: test_request_rejected_by_an_instance_that_names_a_wait expected one log line with the id of the request.

Change: the test takes the line of the completed request, as strict as before, and checks the line of the backoff too. Result: test_operations.py passes.

--- a/anviltray/edge/tests/test_operations.py
+++ b/anviltray/edge/tests/test_operations.py
@@ -65,8 +65,12 @@
         await fleet.call("POST /order/1", b"x", request_id="wait")
 
     headers = f"Not-Executed: 1\r\nRetry-After: {retry_after}\r\n"
-    found = request_line(logged_lines(tmp_path, test, respond(status, b"", headers)), "wait")
-    assert found["sends"][0].get("retry_after_s") == logged
+    lines = logged_lines(tmp_path, test, respond(status, b"", headers))
+    completed = [entry for entry in lines if entry[1] == "request completed"]
+    assert request_line(completed, "wait")["sends"][0].get("retry_after_s") == logged
+    backoffs = [extra for _, message, extra in lines if message.startswith("instance wants no")]
+    assert [extra["retry_after_s"] for extra in backoffs] == ([logged] if logged else [])
+    assert {extra["id"] for extra in backoffs} <= {"wait"}
 
 
 def test_attempts_and_budget_tell_repeats_from_first_attempts(tmp_path):
