--- /dev/null
+++ b/standins/tests/test_soak.py
@@ -0,0 +1,21 @@
+"""Guards against hosts that together break a rule on retries or on leaving instances.
+
+The long run is `python -m standins.soak --runs 50`.
+"""
+
+import asyncio
+
+import pytest
+
+from standins.soak import EVENTS, SoakOptions, Topology, run_soak
+
+TOPOLOGY = Topology(hosts_per_zone=2)
+
+
+@pytest.mark.parametrize(("seed", "kinds"), [(1, ("reject", "leave", "reset")), (2, tuple(EVENTS))])
+def test_rules_are_kept_while_instances_hosts_and_store_are_disturbed(seed, kinds):
+    options = SoakOptions(seed, 14.0, 2.0, kinds, TOPOLOGY)
+    report = asyncio.run(run_soak(options))
+    assert report.violations == ()
+    assert report.rejections > 0
+    assert report.statuses[200] > 0.5 * report.statuses.total()
