Report hosts that end and callers that fail in the soak

A host that ends by itself, or callers that stop with an error, would have gone unnoticed: the run went on with less traffic.

Change: a host that does not run at the end is a violation, and errors of the callers end the run. The product has no change but in docstrings.

--- a/anviltray/decisions/instances/_directory.py
+++ b/anviltray/decisions/instances/_directory.py
@@ -24,7 +24,8 @@
 
     A registration that expires during an outage of the store is kept until the instance had time to
     renew it after the recovery. Draining is final until an instance restarts: a stale record does
-    not reactivate it, not even after its registration was removed.
+    not reactivate it, not even after its registration was removed. An instance that has asked to
+    wait stays usable; `backoff_until_s` tells when it may get requests again.
     """
 
     def __init__(self) -> None:
@@ -129,7 +130,7 @@
         """Keeps requests from an instance that has asked this host to wait.
 
         A later, shorter wait does not replace a longer one, and a new start of the instance ends
-        it. Returns whether the instance got requests before.
+        it. Returns whether the instance could get requests before.
 
         Example: after `set_backoff(5.0, instance, 2.0)`, `backoff_until_s(instance)` is 7.0.
         """
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -130,7 +130,7 @@
         caller_headers: CallerHeaders,
         instance_header: str,
     ) -> None:
-        """`instance_header` names the instance that may run a request."""
+        """`instance_header` is the name of the header with the only instance that may respond."""
         self._state = state
         self._loans = loans
         self._metrics = metrics
--- a/standins/soak/_deployment.py
+++ b/standins/soak/_deployment.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable, Iterator, Mapping
 from pathlib import Path
+from types import MappingProxyType
 from typing import NamedTuple
 
 import aiohttp
@@ -57,18 +58,17 @@
     """Size of a deployment."""
 
     hosts_per_zone: int = 12
-    zones: Mapping[str, str] = {  # Region of each zone.
-        "lahore": "punjab",
-        "faisalabad": "punjab",
-        "karachi": "sindh",
-        "hyderabad": "sindh",
-    }
-    instances: Mapping[str, int] = {"fabric-desk": 30, "order-desk": 8}
-    routes: Mapping[str, RouteKind] = {
-        "catalogue": RouteKind("fabric-desk", True, 1.5, 0.8, 38.8),
-        "reserve": RouteKind("fabric-desk", False, 2.0, 0.8, 117.0),
-        "order": RouteKind("order-desk", False, 1.5, 0.6, 50.0),
-    }
+    zones: Mapping[str, str] = MappingProxyType(  # Region of each zone.
+        {"lahore": "punjab", "faisalabad": "punjab", "karachi": "sindh", "hyderabad": "sindh"}
+    )
+    instances: Mapping[str, int] = MappingProxyType({"fabric-desk": 30, "order-desk": 8})
+    routes: Mapping[str, RouteKind] = MappingProxyType(
+        {
+            "catalogue": RouteKind("fabric-desk", True, 1.5, 0.8, 38.8),
+            "reserve": RouteKind("fabric-desk", False, 2.0, 0.8, 117.0),
+            "order": RouteKind("order-desk", False, 1.5, 0.6, 50.0),
+        }
+    )
     work_s: float = 0.2  # Median service time.
 
 
@@ -81,7 +81,7 @@
 
 
 class Deployment:
-    """All parts of one run; times are in seconds since `start` has returned.
+    """All parts of one run; times are in seconds since all hosts were ready.
 
     Example: `async with Deployment(Topology(), Bounds(), directory, seed=1) as deployment`.
     """
--- a/standins/soak/_instance.py
+++ b/standins/soak/_instance.py
@@ -82,21 +82,20 @@
     async def _serve(
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response | None, **_: object
     ) -> None:
-        request, response = req, resp
-        assert response is not None  # Only None for websockets.
+        assert resp is not None  # Only None for websockets.
         conditions = self.conditions
-        await request.stream.read()
-        request_id = request.get_header("Request-Id") or ""
-        response.set_header("Request-Id", request_id)
-        response.set_header("Instance-Id", self.key)
+        await req.stream.read()
+        request_id = req.get_header("Request-Id") or ""
+        resp.set_header("Request-Id", request_id)
+        resp.set_header("Instance-Id", self.key)
         if conditions.leaving:
-            response.set_header("Server-Leaving", "1")
-        if request.get_header("Expect-Instance") not in (None, self.key):
-            response.status = falcon.HTTP_421
+            resp.set_header("Server-Leaving", "1")
+        if req.get_header("Expect-Instance") not in (None, self.key):
+            resp.status = falcon.HTTP_421
             return
-        host = request.scope["client"][0]
+        host = req.scope["client"][0]
         executes = not conditions.retry_after_s and self._accepted < 2 * self.slots
-        deadline_ms = request.get_header_as_int("Deadline-Ms")
+        deadline_ms = req.get_header_as_int("Deadline-Ms")
         self._observations.arrivals.append(
             Arrival(
                 self._now_s(),
@@ -109,16 +108,16 @@
             )
         )
         if not executes:
-            response.status = falcon.HTTP_503
-            response.set_header("Not-Executed", "1")
+            resp.status = falcon.HTTP_503
+            resp.set_header("Not-Executed", "1")
             if conditions.retry_after_s:
-                response.set_header("Retry-After", f"{conditions.retry_after_s:g}")
+                resp.set_header("Retry-After", f"{conditions.retry_after_s:g}")
                 self._observations.rejections.append(
                     Rejection(self._now_s(), self.key, host, conditions.retry_after_s)
                 )
             return
         if self._rng.random() < conditions.reset_share:
-            abort_connection(request)
+            abort_connection(req)
             return
         self._accepted += 1
         try:
@@ -126,5 +125,5 @@
                 await asyncio.sleep(self._work_s * self._rng.lognormvariate(0.0, 0.5))
         finally:
             self._accepted -= 1
-        response.set_header("Response-Seal", _SEAL)
-        response.text = f"{self.service} {request_id}"
+        resp.set_header("Response-Seal", _SEAL)
+        resp.text = f"{self.service} {request_id}"
--- a/standins/soak/_run.py
+++ b/standins/soak/_run.py
@@ -19,7 +19,7 @@
 
 
 class SoakOptions(NamedTuple):
-    """What is played; the seed decides the plan and all random choices of the run."""
+    """What is played; the seed decides the plan, but not the timing of processes."""
 
     seed: int = 1
     duration_s: float = 30.0
@@ -66,10 +66,18 @@
         await asyncio.sleep(_SETTLE_S)
         for task in background:
             task.cancel()
-        await asyncio.gather(*background, return_exceptions=True)
+        results = await asyncio.gather(*background, return_exceptions=True)
+        ended = [
+            Violation("process-ended", deployment.now_s(), host.process.tail())
+            for host in deployment.hosts
+            if not host.process.running
+        ]
+    for result in results:
+        if isinstance(result, Exception):
+            raise result
     seen = deployment.observations
     return SoakReport(
-        check(seen, options.bounds),
+        (*ended, *check(seen, options.bounds)),
         Counter(sent.status for sent in seen.sent),
         len(seen.arrivals),
         len(seen.rejections),
