Break the open calls of a host whose store is made to fail in a test

Traced: the test gave the host another store, but the long poll of the healthy one stayed open and was answered up to 2.4 s later. Its response counted as the store being reachable, after the first failed read.

Change: the calls that wait when the store is exchanged fail, as on a cut link. Checks and bounds are the same, and the host was right: a response that arrives shows that the store reaches it.

--- a/anviltray/zone/tests/test_after_outage.py
+++ b/anviltray/zone/tests/test_after_outage.py
@@ -65,6 +65,7 @@
     await failing.start()
     healthy = host.follower._store
     host.follower._store = KeyedStore(failing.address, STORE_TIMEOUT_S)
+    await healthy.close()  # Calls that wait for a response fail too.
     yield
     await host.follower._store.close()
     host.follower._store = healthy
