Close the connections of raw test servers before their event loop

Their __del__ raises, and Python 3.11 reports an error in a finalizer during the construction of a syntax tree as "AST constructor recursion depth mismatch".

Change: Upstream waits for its handlers when it ends, and each handler closes its writer also when it is cancelled.

--- a/anviltray/callers/tests/support.py
+++ b/anviltray/callers/tests/support.py
@@ -250,19 +250,23 @@
         self.server.close()
         for task in self.tasks:
             task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
 
     async def _accept(self, reader, writer):
         self.connections += 1
         self.open += 1
         self.tasks.add(asyncio.current_task())
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            while True:
-                request = await read_request(reader)
-                self.requests.append(request)
-                if await self.answer(request, writer) is False:
-                    break
-        self.open -= 1
-        writer.close()
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                while True:
+                    request = await read_request(reader)
+                    self.requests.append(request)
+                    if await self.answer(request, writer) is False:
+                        break
+        finally:
+            self.open -= 1
+            # A writer that is closed after its event loop raises in the garbage collector.
+            writer.close()
 
 
 def parse_fields(lines):
