Log what distinguishes the hypotheses on REFUSED

Cause: the line of a request had no sign whether the caller's 503 was passed on or made by the host, nor which status an instance gave for an attempt that ended as refused or misdirected. Change: the line has the host's own problem; each attempt has the status of the response head and whether it says Not-Executed, now also read with 408 and 421. Result: test_operations.py shows the fields for four kinds of response; no decision changes but that a 408 with Not-Executed is taken for a refusal.

--- a/anviltray/edge/_attempt.py
+++ b/anviltray/edge/_attempt.py
@@ -32,9 +32,11 @@
         "_service",
         "_timer",
         "fresh_connection",
+        "not_executed",
         "on_evidence",
         "on_unacknowledged",
         "placed",
+        "response_status",
         "retry_after_s",
         "started_s",
         "written",
@@ -58,6 +60,8 @@
         self._ended = False
         self.placed = placed
         self.fresh_connection: bool | None = None  # None until a connection was chosen.
+        self.response_status = 0  # Status of the response head; 0 until it arrives.
+        self.not_executed = False  # Whether the response says that the request has not run.
         self.retry_after_s = 0.0  # Time for which the instance wants no other request.
         self.written = False  # False only if it is certain that no byte was written.
         # Called when there is evidence that the other hosts of the zone have not received yet.
--- a/anviltray/edge/_call.py
+++ b/anviltray/edge/_call.py
@@ -20,6 +20,7 @@
         "expires_s",
         "head",
         "history",
+        "problem",
         "received_s",
         "route",
         "sent",
@@ -47,6 +48,7 @@
         # The earlier of the caller's deadline and the route timeout set by the operator.
         self.expires_s = self.received_s + min(head.deadline_s, route.timeout_s)
         self.history: list[dict[str, Any]] = []  # Attempts and placement inputs, for the log.
+        self.problem = ""  # Name of the problem that the host responded with itself, for the log.
         self.timed_out = False
         self.sent = False  # Whether an attempt may have reached an instance.
         # False while a non-idempotent request may be running; it then continues without its caller.
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -195,17 +195,17 @@
             problem = error.problem
             if call.history and problem.status == _BODY_TIMEOUT.status:
                 problem = _TIMEOUT._replace(close=True)
-            status = self._respond_problem(exchange, head, problem)
+            status = self._end_with_problem(call, problem)
         except asyncio.CancelledError:
             if exchange.disconnected and not call.timed_out:
                 self._metrics.count("callers_left")
             elif call.clear_timeout():
-                status = self._respond_problem(exchange, head, self._timeout_problem(call))
+                status = self._end_with_problem(call, self._timeout_problem(call))
             else:
                 raise
         except Exception:
             _log.exception("request {} failed", head.request_id)
-            status = self._respond_problem(exchange, head, _INTERNAL_ERROR)
+            status = self._end_with_problem(call, _INTERNAL_ERROR)
         finally:
             timer.cancel()
             exchange.on_disconnect = None
@@ -249,12 +249,17 @@
                 "route": call.route.name,
                 "service": call.service,
                 "status": status,
+                "problem": call.problem,
                 "ms": round(latency_s * 1000),
                 "version": self._configuration_version,
                 "sends": call.history,
             },
         )
 
+    def _end_with_problem(self, call: EdgeCall, problem: Problem) -> int:
+        call.problem = problem.name
+        return self._respond_problem(call.exchange, call.head, problem)
+
     def _respond_problem(
         self, exchange: CallerExchange, head: RequestHead, problem: Problem
     ) -> int:
@@ -274,7 +279,7 @@
         if not call.body.ended:
             await call.body.buffer_if_short()
         if not self._state.accepts_requests:
-            return self._respond_problem(call.exchange, call.head, _STOPPING)
+            return self._end_with_problem(call, _STOPPING)
         self._state.retry_budget(call.service).record_request(self._state.clock.now_s())
         progress = _Progress()
         # Timers are late after a suspension of the host, so each attempt checks the time.
@@ -297,7 +302,7 @@
         if progress.response is not None:
             return self._respond(call, progress.response)
         problem = _UPSTREAM_FAILED if progress.may_have_executed else progress.problem
-        return self._respond_problem(call.exchange, call.head, problem)
+        return self._end_with_problem(call, problem)
 
     def _choose_instance(self, call: EdgeCall, progress: "_Progress") -> Placed | Shed:
         state, route = self._state, call.route
@@ -457,6 +462,9 @@
                 call.sent = True
             if recorder.retry_after_s:
                 entry["retry_after_s"] = recorder.retry_after_s
+            if recorder.response_status:
+                entry["response_status"] = recorder.response_status
+                entry["not_executed"] = recorder.not_executed
             entry["new_connection"] = recorder.fresh_connection
             entry["ms"] = round((self._loop.time() - recorder.started_s) * 1000)
         entry["result"] = (
@@ -533,6 +541,8 @@
     ) -> AttemptResult | None:
         """Reads a response and classifies the result of the attempt."""
         statements = decode_statements(response.status, response.headers)
+        recorder.response_status = response.status
+        recorder.not_executed = response.signals.refused
         if response.status == MISDIRECTED:
             recorder.finish(ExchangeOutcome.ABANDONED)
             self._state.directory.mark_misdirected(recorder.placed.instance)
--- a/anviltray/edge/tests/test_operations.py
+++ b/anviltray/edge/tests/test_operations.py
@@ -73,6 +73,30 @@
     assert {extra["id"] for extra in backoffs} <= {"wait"}
 
 
+@pytest.mark.parametrize(
+    ("handler", "problem", "response_status", "not_executed"),
+    [
+        (reset, "upstream-failed", None, None),
+        (refuse(), "refused", 503, True),
+        (respond("404 Not Found"), "", 404, False),
+        (respond("429 Too Many Requests", b"", "Not-Executed: 1\r\n"), "refused", 429, True),
+    ],
+)
+def test_request_line_tells_a_response_from_a_problem_of_the_host(
+    tmp_path, handler, problem, response_status, not_executed
+):
+    async def test(fleet):
+        await fleet.call("POST /order/1", b"x", request_id="c1")
+
+    found = request_line(logged_lines(tmp_path, test, handler), "c1")
+    send = found["sends"][0]
+    assert found["problem"] == problem
+    assert (send.get("response_status"), send.get("not_executed")) == (
+        response_status,
+        not_executed,
+    )
+
+
 def test_attempts_and_budget_tell_repeats_from_first_attempts(tmp_path):
     async def test(fleet):
         await fleet.call("POST /order/1", b"x")
--- a/anviltray/platform/_names.py
+++ b/anviltray/platform/_names.py
@@ -16,7 +16,7 @@
 RETRY_AFTER_HEADER = "Retry-After"
 
 # Statuses with which an instance refuses a request unexecuted, if NOT_EXECUTED_HEADER is present.
-REFUSAL_STATUSES = (400, 429, 503)
+REFUSAL_STATUSES = (400, 408, 421, 429, 503)
 
 # Paths that the edge hosts serve.
 READY_PATH = "/v1/ready"
--- a/standins/_serving.py
+++ b/standins/_serving.py
@@ -178,6 +178,16 @@
     request.scope["extensions"][_TRANSPORT].abort()
 
 
+def write_unasked(request: falcon.asgi.Request, data: bytes) -> None:
+    """Writes bytes to the connection of `request`, ahead of its response."""
+    request.scope["extensions"][_TRANSPORT].write(data)
+
+
+def connection_key(request: falcon.asgi.Request) -> int:
+    """Returns a number that identifies the connection of `request` while it is open."""
+    return id(request.scope["extensions"][_TRANSPORT])
+
+
 async def read_object(request: falcon.asgi.Request) -> dict[str, Any]:
     """Returns the JSON object in the body; an empty body counts as an empty object."""
     if not request.content_length:
--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -1,7 +1,8 @@
-"""Callers of one availability zone, which keep their connections open."""
+"""Callers of one availability zone, which keep their connections open and retry."""
 
 import asyncio
 import contextlib
+from collections.abc import AsyncIterator
 from random import Random
 
 import aiohttp
@@ -13,8 +14,11 @@
     Deployment,
     RouteKind,
 )
-from standins.soak._rules import SentRequest
+from standins.soak._rules import NOT_EXECUTED_STATUSES, SentRequest
 
+_MAX_RETRIES = 4
+_BODY = b"x" * 1200
+_UPLOAD_BYTES = (2_000, 100_000)  # Sizes of slow uploads; hosts buffer only the smaller one.
 _LOOKUP_TIMEOUT_S = 1.0
 _KEEP_ALIVE_S = 10.0
 
@@ -26,7 +30,7 @@
         self._deployment, self._zone, self._rng = deployment, zone, rng
         self._directories = [host.ip for host in deployment.hosts if host.zone == zone]
         self._addresses: list[str] = []
-        self._sent = 0
+        self._sent = 0  # Also used for identifiers, so it counts each retry.
         self._running: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -72,6 +76,22 @@
                 task.add_done_callback(self._running.discard)
 
     async def _send(self, session: aiohttp.ClientSession, name: str, kind: RouteKind) -> None:
+        """Sends a request, and sends it again while the responses say that it has not run."""
+        now_s = self._deployment.now_s
+        ends_s = now_s() + kind.timeout_s
+        for _ in range(_MAX_RETRIES + 1):
+            left_s = ends_s - now_s()
+            if left_s <= 0:
+                return
+            status, retry_after_s = await self._attempt(session, name, kind, left_s)
+            if status not in NOT_EXECUTED_STATUSES:
+                return
+            await asyncio.sleep(max(0.0, min(retry_after_s, (ends_s - now_s()) / 3)))
+
+    async def _attempt(
+        self, session: aiohttp.ClientSession, name: str, kind: RouteKind, deadline_s: float
+    ) -> tuple[int, float]:
+        """Returns the status, 0 if there was no response, and the Retry-After in seconds."""
         now_s = self._deployment.now_s
         self._sent += 1
         request_id = f"{self._zone}-{self._sent:06d}"
@@ -79,14 +99,17 @@
         headers = {
             "Host": ROUTE_HOST,
             "Request-Id": request_id,
-            "Deadline-Ms": str(int(kind.timeout_s * 1000)),
+            "Deadline-Ms": str(int(deadline_s * 1000)),
         }
-        method, body = ("GET", None) if kind.idempotent else ("POST", b"x" * 1200)
+        method = "GET" if kind.idempotent else "POST"
+        body: bytes | AsyncIterator[bytes] | None = None if kind.idempotent else _BODY
+        if body and self._rng.random() < self._deployment.slow_upload_share:
+            body = self._upload_slowly(deadline_s)
         sent_s = now_s()
-        ended_s, status, leaving = sent_s, 0, ""
+        ended_s, status, leaving, retry_after_s = sent_s, 0, "", 0.0
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             async with (
-                asyncio.timeout(kind.timeout_s + 1.0),
+                asyncio.timeout(deadline_s + 1.0),
                 session.request(
                     method,
                     f"http://{host}:{CALLER_PORT}/{name}/{self._sent}",
@@ -98,9 +121,27 @@
                 status = response.status
                 if response.headers.get("Server-Leaving") == "1":
                     leaving = response.headers.get("Instance-Id", "")
+                retry_after_s = float(response.headers.get("Retry-After", "0"))
                 await response.read()
+        if status == 0:
+            ended_s = now_s()
         self._deployment.observations.sent.append(
             SentRequest(
-                request_id, kind.service, host, sent_s, ended_s, status, leaving, kind.timeout_s
+                request_id,
+                kind.service,
+                host,
+                sent_s,
+                ended_s,
+                status,
+                leaving,
+                deadline_s,
+                kind.idempotent,
             )
         )
+        return status, retry_after_s
+
+    async def _upload_slowly(self, deadline_s: float) -> AsyncIterator[bytes]:
+        """Yields a body whose last part is sent late, at times after the deadline."""
+        yield b"x" * self._rng.choice(_UPLOAD_BYTES)
+        await asyncio.sleep(self._rng.uniform(0.0, 1.2) * deadline_s)
+        yield b"x"
--- a/standins/soak/_deployment.py
+++ b/standins/soak/_deployment.py
@@ -93,6 +93,7 @@
         self.store = StoreStandin()
         self.instances: list[Instance] = []
         self.hosts: list[Host] = []
+        self.slow_upload_share = 0.0  # Share of the requests with a body that arrives slowly.
         self._created = 0
         self._started_s = 0.0
         # Ports are the same on all hosts, so runs at the same time need other addresses.
--- a/standins/soak/_plan.py
+++ b/standins/soak/_plan.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple, TypeVar
 
 from standins.soak._deployment import Deployment
-from standins.soak._instance import Instance
+from standins.soak._instance import Conditions, Instance
 from standins.store import StoreConditions
 
 _Item = TypeVar("_Item")
@@ -73,6 +73,17 @@
     ]
 
 
+async def _disturb(deployment: Deployment, rng: Random, conditions: Conditions) -> int:
+    """Applies conditions to some instances of a service for a time; returns their number."""
+    instances = _share(rng, _sound_instances(deployment, rng), 0.2, 0.6)
+    for each in instances:
+        each.conditions = conditions
+    await asyncio.sleep(rng.uniform(3.0, 8.0))
+    for each in instances:
+        each.conditions = Conditions(leaving=each.conditions.leaving)
+    return len(instances)
+
+
 @event("reject")
 async def _reject(deployment: Deployment, rng: Random) -> str:
     """Instances reject all requests and name the time to wait."""
@@ -89,13 +100,39 @@
 @event("reset")
 async def _reset(deployment: Deployment, rng: Random) -> str:
     """Instances reset a part of the requests that they run."""
-    instances = _share(rng, _sound_instances(deployment, rng), 0.2, 0.6)
-    for each in instances:
-        each.conditions = each.conditions._replace(reset_share=0.7)
+    count = await _disturb(deployment, rng, Conditions(reset_share=0.7))
+    return f"{count} instances reset requests"
+
+
+@event("fail")
+async def _fail(deployment: Deployment, rng: Random) -> str:
+    """Instances run requests and respond with a failure that does not deny it."""
+    status = rng.choice((408, 421, 429, 500, 503))
+    count = await _disturb(deployment, rng, Conditions(failure_share=0.7, failure_status=status))
+    return f"{count} instances ran requests and responded with {status}"
+
+
+@event("repeat")
+async def _repeat(deployment: Deployment, rng: Random) -> str:
+    """Instances write rejections once more, ahead of the next response on the connection."""
+    count = await _disturb(deployment, rng, Conditions(repeated_rejection_share=0.5))
+    return f"{count} instances wrote rejections once more"
+
+
+@event("silent")
+async def _silent(deployment: Deployment, rng: Random) -> str:
+    """Instances run requests and do not respond."""
+    count = await _disturb(deployment, rng, Conditions(silent_share=0.7))
+    return f"{count} instances did not respond"
+
+
+@event("upload")
+async def _upload(deployment: Deployment, rng: Random) -> str:
+    """Callers send bodies slowly, at times beyond their deadline."""
+    deployment.slow_upload_share = 0.3
     await asyncio.sleep(rng.uniform(3.0, 8.0))
-    for each in instances:
-        each.conditions = each.conditions._replace(reset_share=0.0)
-    return f"{len(instances)} instances reset requests"
+    deployment.slow_upload_share = 0.0
+    return "callers sent bodies slowly"
 
 
 @event("leave")
--- a/standins/soak/_rules.py
+++ b/standins/soak/_rules.py
@@ -17,6 +17,7 @@
     status: int  # 0 if there was no response.
     leaving: str  # Instance whose response said that it is leaving; empty if none.
     deadline_s: float  # Time that the caller allowed.
+    idempotent: bool  # May run more than once.
 
 
 class Arrival(NamedTuple):
@@ -84,6 +85,9 @@
     detail: str
 
 
+# Statuses with which a host promises that the request has not run and never will.
+NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+
 Check = Callable[[Observations, Bounds], Iterator[Violation]]
 CHECKS: dict[str, Check] = {}
 
@@ -93,6 +97,7 @@
 _DEADLINE_MARGIN_S = 0.5
 # Requests that may exceed these limits in one run.
 _EXCESS_INSTANCES = 3
+_EXCESS_LOST = 3
 _EXCESS_DEADLINES = 20
 
 
@@ -181,6 +186,52 @@
         yield Violation("deadline", excess[0].at_s, detail)
 
 
+@rule("not-executed")
+def _check_not_executed(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
+    """Requests that were answered as not executed, and that an instance has executed."""
+    executed = {each.request_id: each for each in seen.arrivals if each.executed}
+    for request in seen.sent:
+        arrival = executed.get(request.request_id)
+        if arrival is None or request.idempotent or request.status not in NOT_EXECUTED_STATUSES:
+            continue
+        detail = (
+            f"{request.request_id} got {request.status} from {request.host} "
+            f"and ran on {arrival.instance}"
+        )
+        yield Violation("not-executed", request.ended_s, detail)
+
+
+@rule("executed-once")
+def _check_executed_once(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
+    """Requests that are not idempotent and ran more than once."""
+    unrepeatable = {each.request_id for each in seen.sent if not each.idempotent}
+    ran: set[str] = set()
+    for arrival in sorted(seen.arrivals):
+        if not arrival.executed or arrival.request_id not in unrepeatable:
+            continue
+        if arrival.request_id in ran:
+            detail = f"{arrival.request_id} ran once more on {arrival.instance}"
+            yield Violation("executed-once", arrival.at_s, detail)
+        ran.add(arrival.request_id)
+
+
+@rule("lost")
+def _check_lost(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
+    """Requests that a stable host sent to an instance and then ended without a response."""
+    executed = {each.request_id for each in seen.arrivals if each.executed}
+    lost = [
+        each
+        for each in seen.sent
+        if each.status == 0
+        and each.request_id in executed
+        and each.ended_s < each.sent_s + each.deadline_s
+        and not seen.is_disturbed(each.host, each.sent_s - bounds.stable_s, each.ended_s)
+    ]
+    if len(lost) > _EXCESS_LOST:
+        detail = f"{len(lost)} requests, among them {lost[0].request_id}"
+        yield Violation("lost", lost[0].ended_s, detail)
+
+
 @rule("retry-after")
 def _check_retry_after(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
     """Requests that reach an instance before the time that it asked the host to wait is over."""
--- a/standins/tests/test_soak_rules.py
+++ b/standins/tests/test_soak_rules.py
@@ -8,8 +8,10 @@
 HOST = "127.1.1.1"
 
 
-def sent(number, at_s=0.0, leaving=""):
-    return SentRequest(f"c{number}", "desk", HOST, at_s, at_s + 0.1, 200, leaving, 2.0)
+def sent(number, at_s=0.0, leaving="", status=200, idempotent=False):
+    return SentRequest(
+        f"c{number}", "desk", HOST, at_s, at_s + 0.1, status, leaving, 2.0, idempotent
+    )
 
 
 def arrival(number, at_s=0.0, instance="i-1", deadline_s=1.0, executed=True):
@@ -18,7 +20,7 @@
 
 def repeated(count):
     """Returns 100 requests, of which the first `count` reach a second instance."""
-    requests = [sent(number) for number in range(100)]
+    requests = [sent(number, idempotent=True) for number in range(100)]
     arrivals = [arrival(number, 0.1) for number in range(100)]
     arrivals += [arrival(number, 0.2, "i-2") for number in range(count)]
     return requests, arrivals, [], []
@@ -31,7 +33,7 @@
         for number in range(requests)
         for instance in range(instances)
     ]
-    return [sent(number) for number in range(requests)], arrivals, [], []
+    return [sent(number, idempotent=True) for number in range(requests)], arrivals, [], []
 
 
 def handed_on(deadline_s, count, *disturbances):
@@ -52,6 +54,18 @@
     return requests, [arrival(1, 0.9), arrival(2, at_s)], [], list(disturbances)
 
 
+def answered(status, count=1, executed=True, idempotent=False, disturbances=()):
+    """Returns requests that got `status`, 0 for none, and reached an instance."""
+    requests = [sent(number, 5.0, "", status, idempotent) for number in range(count)]
+    arrivals = [arrival(number, 5.05, executed=executed) for number in range(count)]
+    return requests, arrivals, [], list(disturbances)
+
+
+def run_again(idempotent, executed=True):
+    arrivals = [arrival(1, 0.1), arrival(1, 0.2, "i-2", executed=executed)]
+    return [sent(1, idempotent=idempotent)], arrivals, [], []
+
+
 @pytest.mark.parametrize(
     ("observed", "broken"),
     [
@@ -73,6 +87,21 @@
         (rejected(3, 4.1), set()),
         (rejected(3, 1.6, HostDisturbance(HOST, 2.0, 3.0)), set()),
         (rejected(3, 1.6, HostDisturbance("127.1.1.2", 2.0, 3.0)), {"retry-after"}),
+        (answered(503), {"not-executed"}),
+        (answered(429), {"not-executed"}),
+        (answered(408), {"not-executed"}),
+        (answered(421), {"not-executed"}),
+        (answered(503, executed=False), set()),
+        (answered(503, idempotent=True), set()),
+        (answered(502), set()),
+        (run_again(idempotent=False), {"executed-once"}),
+        (run_again(idempotent=False, executed=False), set()),
+        (run_again(idempotent=True), set()),
+        (answered(0, 3), set()),
+        (answered(0, 4), {"lost"}),
+        (answered(0, 4, executed=False), set()),
+        (answered(0, 4, disturbances=[HostDisturbance(HOST, 1.0, 2.0)]), set()),
+        (answered(0, 4, disturbances=[HostDisturbance(HOST, 1.0, 1.9)]), {"lost"}),
         (told_at_1_s(2.9), set()),
         (told_at_1_s(3.1), {"leaving"}),
         (told_at_1_s(5.0, HostDisturbance(HOST, 2.0, 3.0)), set()),
