Show that requests run that were answered as not executed

What callers see: 503, 429, 408 or 421, which from a host promises that the request has not run and never will, for requests that an instance has run (REFUSED); after a 421 such a request also ran on a second instance (TWICE).

--- a/anviltray/edge/tests/test_requests.py
+++ b/anviltray/edge/tests/test_requests.py
@@ -128,6 +128,28 @@
     run(tmp_path, test, handler, handler)
 
 
+NOT_EXECUTED_STATUSES = (
+    "408 Request Timeout",
+    "421 Misdirected Request",
+    "429 Too Many Requests",
+    "503 Service Unavailable",
+)
+
+
+@pytest.mark.parametrize("status", NOT_EXECUTED_STATUSES)
+@pytest.mark.parametrize(("head", "attempts"), [(LEVEL, 2), (ORDER, 1)])
+def test_executed_request_is_not_answered_as_not_executed(tmp_path, head, attempts, status):
+    """From a host these statuses say that the request has not run; from an instance they do not."""
+
+    async def test(fleet):
+        fleet.hosts[0].state.set_fleet_size(1)
+        response = await fleet.call(head, b"" if head == LEVEL else b"order")
+        assert (response.status, fleet.received()) == (502, attempts)
+        assert not {"response-seal", "retry-after"} & set(response.headers)
+
+    run(tmp_path, test, *[respond(status, headers=f"{SEAL}Retry-After: 1\r\n")] * 2)
+
+
 def test_repeated_refusal_on_a_kept_connection_is_not_believed(tmp_path):
     """The instance refuses one request, and runs the next one but repeats the refusal."""
 
