Promise that a request has not run only if its instance says so

What callers saw: 503, 429, 408 or 421 for requests that an instance had run or was running; after a 421 a request that must not be repeated also ran on a second instance (REFUSED, TWICE). Cause: a host passed on the status of an instance. An instance states with Not-Executed alone that it has not run a request, while callers take these four statuses of a host for a promise. A 421 was believed without it. Why this works: such a response without Not-Executed has an unknown outcome, like a reset: requests that may be repeated go to another instance within the budget, others end with the host's own 502, without the seal.

--- a/anviltray/edge/_attempt.py
+++ b/anviltray/edge/_attempt.py
@@ -164,4 +164,4 @@
 class OutcomeUnknown(NamedTuple):
     """The request may have been executed, but no complete response arrived."""
 
-    reason: str  # "broken", "invalid" or "vanished".
+    reason: str  # "broken", "invalid", "vanished", "overtaken" or "unconfirmed".
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -22,7 +22,7 @@
 from anviltray.edge._loans import RetryLoans
 from anviltray.edge._metrics import EdgeMetrics
 from anviltray.edge._state import EdgeState
-from anviltray.platform import decode_statements
+from anviltray.platform import decode_statements, is_promise
 from anviltray.settings import CallerSettings
 from anviltray.upstreams import (
     MISDIRECTED,
@@ -544,8 +544,10 @@
         recorder.response_status = response.status
         recorder.not_executed = response.signals.refused
         if response.status == MISDIRECTED:
-            recorder.finish(ExchangeOutcome.ABANDONED)
             self._state.directory.mark_misdirected(recorder.placed.instance)
+            recorder.finish(ExchangeOutcome.ABANDONED)
+            if not response.signals.refused:
+                return self._unconfirmed()
             call.cancellable = True
             return NotExecuted("misdirected")
         recorder.report_limit(statements.limit_per_s)
@@ -560,6 +562,9 @@
             recorder.finish(ExchangeOutcome.REFUSED)
             call.cancellable = True
             return NotExecuted("refused")
+        if is_promise(response.status):
+            recorder.finish(ExchangeOutcome.SERVER_ERROR)
+            return self._unconfirmed()
         recorder.report_accepted()
         body = bytearray()
         while chunk := await response.read_chunk():
@@ -574,6 +579,11 @@
         recorder.finish(ExchangeOutcome.SERVER_ERROR if failed else ExchangeOutcome.OK)
         return CompleteResponse(response.status, response.headers, bytes(body))
 
+    def _unconfirmed(self) -> OutcomeUnknown:
+        """Returns the result for a status that would deny an execution that may have happened."""
+        self._metrics.count("unconfirmed_rejections")
+        return OutcomeUnknown("unconfirmed")
+
     def _drain_instance(self, call: EdgeCall, instance: Instance) -> None:
         """Takes an instance out of use whose response says that it is about to end."""
         state = self._state
--- a/anviltray/platform/__init__.py
+++ b/anviltray/platform/__init__.py
@@ -34,6 +34,7 @@
     MAX_RETRY_AFTER_S,
     InstanceStatements,
     decode_statements,
+    is_promise,
 )
 from anviltray.platform._store import KeyedStore
 
@@ -62,6 +63,7 @@
     "decode_configuration",
     "decode_instance",
     "decode_statements",
+    "is_promise",
     "encode_addresses",
     "load_host_settings",
     "names",
--- a/anviltray/platform/_names.py
+++ b/anviltray/platform/_names.py
@@ -18,6 +18,10 @@
 # Statuses with which an instance refuses a request unexecuted, if NOT_EXECUTED_HEADER is present.
 REFUSAL_STATUSES = (400, 408, 421, 429, 503)
 
+# Statuses with which a host promises its caller that the request has not run and never will. The
+# same status of an instance says so only with NOT_EXECUTED_HEADER.
+PROMISE_STATUSES = (408, 421, 429, 503)
+
 # Paths that the edge hosts serve.
 READY_PATH = "/v1/ready"
 RESOLVE_PATH = "/v1/resolve"
--- a/anviltray/platform/_statements.py
+++ b/anviltray/platform/_statements.py
@@ -46,6 +46,11 @@
     )
 
 
+def is_promise(status: int) -> bool:
+    """Returns whether a host that responds with `status` promises that the request has not run."""
+    return status in names.PROMISE_STATUSES
+
+
 def _parse_decimal(value: bytes | None, default: float) -> float:
     """Returns a decimal number without a sign or an exponent, or `default` if it is invalid."""
     if value is None or not _DECIMAL.fullmatch(value.strip()):
--- a/anviltray/platform/tests/test_statements.py
+++ b/anviltray/platform/tests/test_statements.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from anviltray.platform import MAX_RETRY_AFTER_S, InstanceStatements, decode_statements
+from anviltray.platform import (
+    MAX_RETRY_AFTER_S,
+    InstanceStatements,
+    decode_statements,
+    is_promise,
+)
 
 DATE = "Sat, 05 Dec 2026 15:00:00 GMT"
 
@@ -40,3 +45,7 @@
 def test_values_that_are_no_decimal_number_are_ignored(value):
     fields = [(b"retry-after", value.encode()), (b"server-limit", value.encode())]
     assert decode_statements(503, fields) == InstanceStatements(limit_per_s=math.inf)
+
+
+def test_promises_that_a_request_has_not_run():
+    assert {status for status in range(200, 600) if is_promise(status)} == {408, 421, 429, 503}
