--- a/standins/_serving.py
+++ b/standins/_serving.py
@@ -213,6 +213,14 @@
         """Listens and returns the address."""
         return await self._server.start()
 
+    def refuse(self) -> None:
+        """Resets all connections and refuses new ones."""
+        self._server.refuse()
+
+    async def listen(self) -> None:
+        """Accepts connections again after `refuse`."""
+        await self._server.listen()
+
     async def close(self) -> None:
         """Stops listening and resets all connections."""
         await self._server.close()
--- a/standins/soak/_deployment.py
+++ b/standins/soak/_deployment.py
@@ -14,7 +14,7 @@
 from standins._waiting import poll_until
 from standins.fleet import ManagedProcess
 from standins.soak._instance import Instance
-from standins.soak._rules import Bounds, HostDisturbance, Observations
+from standins.soak._rules import Bounds, Disturbance, Observations
 from standins.store import StoreStandin
 
 CALLER_PORT, DIRECTORY_PORT, READINESS_PORT = 8144, 8143, 8140
@@ -180,7 +180,7 @@
         from_s, host.disturbed = self.now_s(), True
         yield
         host.disturbed = False
-        self.observations.disturbances.append(HostDisturbance(host.ip, from_s, self.now_s()))
+        self.observations.disturbances.append(Disturbance(host.ip, from_s, self.now_s()))
 
     async def _wait_ready(self, session: aiohttp.ClientSession, host: Host) -> None:
         while not await self._is_ready(session, host):  # noqa: ASYNC110
--- a/standins/soak/_instance.py
+++ b/standins/soak/_instance.py
@@ -58,6 +58,7 @@
         self.key, self.service, self.zone, self.slots = key, service, zone, slots
         self.conditions = Conditions()
         self.started = False
+        self.relay_address = ""  # Address to register, if not that of the instance itself.
         self._store, self._observations, self._now_s, self._rng = store, observations, now_s, rng
         self._work_s = work_s
         self._running = asyncio.Semaphore(slots)
@@ -78,7 +79,7 @@
     def register(self, state: str = "ready") -> None:
         """Writes the registration to the store."""
         document = {
-            "address": self.address,
+            "address": self.relay_address or self.address,
             "born": self._started_unix_ms,
             "info": {
                 "service": self.service,
--- a/standins/soak/_plan.py
+++ b/standins/soak/_plan.py
@@ -5,8 +5,10 @@
 from random import Random
 from typing import NamedTuple, TypeVar
 
+from standins.relay import Direction, Relay
 from standins.soak._deployment import Deployment
 from standins.soak._instance import Conditions, Instance
+from standins.soak._rules import Disturbance
 from standins.store import StoreConditions
 
 _Item = TypeVar("_Item")
@@ -17,6 +19,7 @@
     "resets": StoreConditions(resets=True),
     "silent": StoreConditions(silent=True),
 }
+_SWITCH_S = 2.5  # Time until hosts use a changed address only.
 _LINGER_S = 6.0  # Time for which a leaving instance still serves.
 
 
@@ -126,6 +129,48 @@
     return f"{count} instances did not respond"
 
 
+@event("crash")
+async def _crash(deployment: Deployment, rng: Random) -> str:
+    """Instances reset their connections and refuse new ones."""
+    instances = _share(rng, _sound_instances(deployment, rng), 0.1, 0.4)
+    for each in instances:
+        each.refuse()
+    await asyncio.sleep(rng.uniform(2.0, 5.0))
+    for each in instances:
+        if each.started:
+            await each.listen()
+    return f"{len(instances)} instances refused connections"
+
+
+@event("cut")
+async def _cut(deployment: Deployment, rng: Random) -> str:
+    """Links between hosts and instances are silent in one direction, and deliver it all later."""
+    instances = _share(rng, _sound_instances(deployment, rng), 0.2, 0.5)
+    direction = rng.choice(tuple(Direction))
+    relays = [Relay(each.address) for each in instances]
+    for each, relay in zip(instances, relays, strict=True):
+        each.relay_address = await relay.start()
+        each.register()
+    await asyncio.sleep(_SWITCH_S)
+    from_s = deployment.now_s()
+    for relay in relays:
+        relay.cut([direction])
+    await asyncio.sleep(rng.uniform(2.0, 5.0))
+    for relay in relays:
+        relay.heal()
+    deployment.observations.disturbances += [
+        Disturbance(each.key, from_s, deployment.now_s()) for each in instances
+    ]
+    await asyncio.sleep(_SWITCH_S)
+    for each in instances:
+        each.relay_address = ""
+        if each.started and not each.conditions.leaving:
+            each.register()
+    await asyncio.sleep(_SWITCH_S)
+    await asyncio.gather(*(relay.close() for relay in relays))
+    return f"{len(instances)} instances were cut off, {direction}"
+
+
 @event("upload")
 async def _upload(deployment: Deployment, rng: Random) -> str:
     """Callers send bodies slowly, at times beyond their deadline."""
--- a/standins/soak/_rules.py
+++ b/standins/soak/_rules.py
@@ -41,10 +41,10 @@
     retry_after_s: float
 
 
-class HostDisturbance(NamedTuple):
-    """Time in which a host was stopped, killed or suspended."""
+class Disturbance(NamedTuple):
+    """Time in which a host did not run, or in which links to an instance were cut."""
 
-    host: str
+    subject: str  # IP address of the host, or key of the instance.
     from_s: float
     until_s: float
 
@@ -56,12 +56,12 @@
         self.sent: list[SentRequest] = []
         self.arrivals: list[Arrival] = []
         self.rejections: list[Rejection] = []
-        self.disturbances: list[HostDisturbance] = []
+        self.disturbances: list[Disturbance] = []
 
-    def is_disturbed(self, host: str, from_s: float, until_s: float) -> bool:
-        """Returns whether a host was disturbed at any time between `from_s` and `until_s`."""
+    def is_disturbed(self, subject: str, from_s: float, until_s: float) -> bool:
+        """Returns whether a host or instance was disturbed between `from_s` and `until_s`."""
         return any(
-            each.host == host and each.from_s <= until_s and each.until_s >= from_s
+            each.subject == subject and each.from_s <= until_s and each.until_s >= from_s
             for each in self.disturbances
         )
 
@@ -177,7 +177,10 @@
     for arrival in seen.arrivals:
         request = sent.get(arrival.request_id)
         from_s = arrival.at_s - bounds.stable_s
-        if request is not None and not seen.is_disturbed(arrival.host, from_s, arrival.at_s):
+        if request is not None and not (
+            seen.is_disturbed(arrival.host, from_s, arrival.at_s)
+            or seen.is_disturbed(arrival.instance, from_s, arrival.at_s)
+        ):
             left_s = request.sent_s + request.deadline_s - arrival.at_s
             if arrival.deadline_s is None or arrival.deadline_s > left_s + _DEADLINE_MARGIN_S:
                 excess.append(arrival)
