Bound the memory of all responses of a host together

What operators of similar systems saw: bytes without end from a faulty instance used up the memory of a host, whose process ended, and with it the requests of all other callers on it (LOST). Cause: a response was bounded, but not their number. One that is streamed to a caller who does not read was held up to four times, in the buffer, in two copies of it and in the write buffer, beside up to 256 KiB from each read. Change: buffered chunks are passed on one by one and not copied; buffered responses share an eighth of the memory limit that the settings state, above it they are streamed at once; streamed ones may use half of it, above it they are given up. Reads bring at most 64 KiB, the buffers of a connection are halved.

--- a/anviltray/callers/_protocol.py
+++ b/anviltray/callers/_protocol.py
@@ -20,7 +20,7 @@
     from uvicorn._types import ASGI3Application
 
 # High-water mark of the write buffer; above it, no more of the response is read from the upstream.
-WRITE_BUFFER_BYTES = 131072
+WRITE_BUFFER_BYTES = 65536
 # Maximum number of pipelined requests that wait on one connection behind the current one.
 PIPELINE_LIMIT = 32
 # The kernel resets a connection that is closed with unread input, which can discard a response in
--- a/anviltray/edge/_attempt.py
+++ b/anviltray/edge/_attempt.py
@@ -164,4 +164,5 @@
 class OutcomeUnknown(NamedTuple):
     """The request may have been executed, but no complete response arrived."""
 
-    reason: str  # "broken", "invalid", "vanished", "overtaken" or "unconfirmed".
+    # "broken", "invalid", "vanished", "overtaken", "no-memory" or "unconfirmed".
+    reason: str
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -21,6 +21,7 @@
 from anviltray.edge._call import EdgeCall
 from anviltray.edge._loans import RetryLoans
 from anviltray.edge._metrics import EdgeMetrics
+from anviltray.edge._response_buffer import ResponseBuffer, ResponseMemory
 from anviltray.edge._state import EdgeState
 from anviltray.platform import decode_statements, is_promise
 from anviltray.settings import CallerSettings
@@ -36,9 +37,6 @@
 
 _log = logbook.Logger("anviltray.requests")
 
-# Larger responses are streamed to the caller as they arrive; once streaming has begun, a retry is
-# no longer possible.
-MAX_BUFFERED_BYTES = 262144
 # Failed connects per request; not counted as attempts, since they cost the instances nothing.
 _MAX_CONNECT_FAILURES = 3
 # Interval at which a request without a response looks for a free instance and a retry for a second
@@ -140,6 +138,7 @@
         self._load_due_s = self._loop.time() + _LOAD_GRACE_S
         self.set_limits(settings)
         self._instance_header = instance_header
+        self._response_memory = ResponseMemory(state.settings.memory_limit_bytes)
 
     def set_limits(self, settings: CallerSettings) -> None:
         """Applies the size limits and timeouts for requests."""
@@ -566,18 +565,23 @@
             recorder.finish(ExchangeOutcome.SERVER_ERROR)
             return self._unconfirmed()
         recorder.report_accepted()
-        body = bytearray()
-        while chunk := await response.read_chunk():
-            body += chunk
-            if len(body) > MAX_BUFFERED_BYTES:
-                if call.exchange.response_started:
-                    recorder.finish(ExchangeOutcome.ABANDONED)
-                    return OutcomeUnknown("overtaken")
-                await self._stream_response(call, recorder, response, bytes(body))
-                return None
-        failed = response.status >= 500
-        recorder.finish(ExchangeOutcome.SERVER_ERROR if failed else ExchangeOutcome.OK)
-        return CompleteResponse(response.status, response.headers, bytes(body))
+        with ResponseBuffer(self._response_memory) as buffer:
+            while chunk := await response.read_chunk():
+                buffer.append(chunk)
+                if buffer.is_full:
+                    if call.exchange.response_started:
+                        recorder.finish(ExchangeOutcome.ABANDONED)
+                        return OutcomeUnknown("overtaken")
+                    if not self._response_memory.can_stream:
+                        recorder.finish(ExchangeOutcome.ABANDONED)
+                        return OutcomeUnknown("no-memory")
+                    del chunk  # Not kept while the caller reads slowly.
+                    with self._response_memory.stream():
+                        await self._stream_response(call, recorder, response, buffer)
+                    return None
+            failed = response.status >= 500
+            recorder.finish(ExchangeOutcome.SERVER_ERROR if failed else ExchangeOutcome.OK)
+            return CompleteResponse(response.status, response.headers, buffer.content())
 
     def _unconfirmed(self) -> OutcomeUnknown:
         """Returns the result for a status that would deny an execution that may have happened."""
@@ -614,14 +618,18 @@
             )
 
     async def _stream_response(
-        self, call: EdgeCall, recorder: AttemptRecorder, response: UpstreamResponse, first: bytes
+        self,
+        call: EdgeCall,
+        recorder: AttemptRecorder,
+        response: UpstreamResponse,
+        buffer: ResponseBuffer,
     ) -> None:
-        """Streams a large response to the caller as it arrives."""
+        """Streams a response to the caller as it arrives, from what is in `buffer` on."""
         exchange = call.exchange
         closing = self._state.shutting_down
-        await exchange.begin(response.status, response.headers, first, closing)
+        await exchange.begin(response.status, response.headers, b"", closing)
         try:
-            while chunk := await response.read_chunk():
+            while chunk := buffer.pop_first() or await response.read_chunk():
                 await exchange.write(chunk)
         except UpstreamError:
             recorder.finish(ExchangeOutcome.BROKEN)
--- a/anviltray/platform/__init__.py
+++ b/anviltray/platform/__init__.py
@@ -63,8 +63,8 @@
     "decode_configuration",
     "decode_instance",
     "decode_statements",
-    "is_promise",
     "encode_addresses",
+    "is_promise",
     "load_host_settings",
     "names",
 ]
--- a/anviltray/platform/_host_settings.py
+++ b/anviltray/platform/_host_settings.py
@@ -7,6 +7,8 @@
 
 from anviltray.settings import Guarantees, HostSettings
 
+_DEFAULT_MEMORY_MB = 300.0  # If the platform states no limit.
+
 
 class HostSettingsError(ValueError):
     """The settings file is unreadable or invalid; the message is one line for operators."""
@@ -43,6 +45,7 @@
         store_address=_get_address(document["provider"], "address"),
         heartbeat_s=_parse_non_negative(document["heartbeatMs"], "heartbeatMs") / 1000,
         first_start=document.get("bootstrap", False) is True,
+        memory_limit_bytes=_parse_memory_limit(document.get("limits", {})),
         guarantees=Guarantees(
             answer_lifetime_s=_parse_non_negative(bounds["ttl_max_s"], "ttl_max_s"),
             drain_s=_parse_non_negative(bounds["drainMs"], "drainMs") / 1000,
@@ -78,6 +81,11 @@
     return value
 
 
+def _parse_memory_limit(limits: Mapping[str, Any]) -> int:
+    limit_mb = _parse_non_negative(limits.get("memoryMb", _DEFAULT_MEMORY_MB), "memoryMb")
+    return int((limit_mb or _DEFAULT_MEMORY_MB) * 1_000_000)
+
+
 def _parse_share(value: Any, key: str) -> float:
     share = _parse_non_negative(value, key)
     if share > 1:
--- a/anviltray/platform/tests/test_host_settings.py
+++ b/anviltray/platform/tests/test_host_settings.py
@@ -46,6 +46,21 @@
     assert load_host_settings(path).first_start is expected
 
 
+@pytest.mark.parametrize(
+    ("section", "expected_bytes"),
+    [
+        ("", 300_000_000),
+        ("[limits]\nmemoryMb = 128", 128_000_000),
+        ("[limits]\nmemoryMb = 0", 300_000_000),
+        ("[limits]\ncores = 1", 300_000_000),
+    ],
+)
+def test_memory_limit_is_read(tmp_path, section, expected_bytes):
+    path = tmp_path / "node.toml"
+    path.write_text(TEXT + section)
+    assert load_host_settings(path).memory_limit_bytes == expected_bytes
+
+
 @pytest.mark.parametrize(
     ("old", "new", "named"),
     [
--- a/anviltray/settings/_host.py
+++ b/anviltray/settings/_host.py
@@ -33,4 +33,5 @@
     store_address: str  # IP:port of the platform's log.
     heartbeat_s: float  # Interval between two heartbeats of an instance.
     first_start: bool  # Whether the whole fleet starts for the first time.
+    memory_limit_bytes: int  # Memory above which the platform kills the process.
     guarantees: Guarantees  # Guarantees of the fleet.
--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -36,7 +36,7 @@
 from anviltray.upstreams._fields import HOP_BY_HOP, connection_options
 
 # Bytes of a response that are buffered before reading from its connection is paused.
-READ_BUFFER_BYTES = 65536
+READ_BUFFER_BYTES = 32768
 # Limit for response heads; the same as the default limit for request heads.
 FIELD_LIMIT_BYTES = 32768
 FIELD_LIMIT_COUNT = 256
@@ -119,7 +119,7 @@
     async def read_chunk(self) -> bytes:
         """Returns the next bytes of the body, or empty bytes at its end; raises ExchangeBroken."""
         try:
-            return await self._response.content.readany()
+            return await self._response.content.read(READ_BUFFER_BYTES)
         except _TRANSPORT_ERRORS as error:
             raise ExchangeBroken(f"the response body was truncated: {error}") from error
 
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -21,6 +21,8 @@
 # Limit for bytes of chunk lengths and extensions. Chunks of one byte have five bytes of framing.
 _FRAMING_LIMIT_BYTES = 65536
 _FRAMING_FACTOR = 8
+# asyncio reads up to 256 KiB at once, however small the buffer is.
+_READ_LIMIT_BYTES = 65536
 _HEAD_END = b"\r\n\r\n"
 _FIRST_FINAL_STATUS = 200
 # Share of the idle timeout stated by an upstream in which its connections are reused. A request
@@ -46,6 +48,11 @@
         self._informational_count = 0
         self._received_body_bytes = 0  # With their framing.
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limits the bytes that one read adds to the buffer of a response."""
+        super().connection_made(transport)
+        transport.max_size = _READ_LIMIT_BYTES  # type: ignore[attr-defined]
+
     def set_response_params(self, **arguments: Any) -> None:
         """Prepares for the response to the next request on this connection."""
         self._has_final_head = False
