Bound what a call of the store or of a peer may bring

Bytes without end from one of them end the process, as those of an instance did. Change: a body, and all pages of one call, may have 32 MiB; beyond it the call fails as if the peer were away.

--- a/anviltray/platform/__init__.py
+++ b/anviltray/platform/__init__.py
@@ -37,11 +37,13 @@
     is_promise,
 )
 from anviltray.platform._store import KeyedStore
+from anviltray.platform._transport import BODY_LIMIT_BYTES, ResponseTooLarge, read_body
 
 __all__ = [
     "AppendConflict",
     "AppendRejected",
     "AppendUnknown",
+    "BODY_LIMIT_BYTES",
     "Batch",
     "DocumentInvalid",
     "HostEntry",
@@ -60,6 +62,7 @@
     "PlatformUnavailable",
     "Record",
     "RecordBatch",
+    "ResponseTooLarge",
     "decode_configuration",
     "decode_instance",
     "decode_statements",
@@ -67,4 +70,5 @@
     "is_promise",
     "load_host_settings",
     "names",
+    "read_body",
 ]
--- a/anviltray/platform/_store.py
+++ b/anviltray/platform/_store.py
@@ -18,7 +18,7 @@
     RecordBatch,
 )
 from anviltray.platform._names import APPEND_PATH, NEWEST_PATH, READ_PATH
-from anviltray.platform._transport import HttpTransport, ResponseLost
+from anviltray.platform._transport import BODY_LIMIT_BYTES, HttpTransport, ResponseLost
 
 # Added to the wait of a long-polling read, for its round trip.
 _READ_MARGIN_S = 1.0
@@ -45,11 +45,14 @@
         records: list[KeyedRecord] = []
         end: int | None = None
         after = ""
-        while True:
+        received_bytes = 0
+        while received_bytes <= BODY_LIMIT_BYTES:
             parameters = {"topic": topic, "part": "0"}
             if after:
                 parameters["after"] = after
-            page = self._decode_json(await self._get(NEWEST_PATH, parameters, None))
+            body = await self._get(NEWEST_PATH, parameters, None)
+            received_bytes += len(body)
+            page = self._decode_json(body)
             try:
                 items = [_decode_item(item) for item in page["items"]]
                 end = int(page["end"]) if end is None else end
@@ -60,6 +63,7 @@
             if not more or not items:
                 return NewestRecords(tuple(records), end)
             after = items[-1].key
+        raise PlatformUnavailable(f"newest {topic}: more than {BODY_LIMIT_BYTES} bytes")
 
     async def read(self, topic: str, offset: int, wait_s: float) -> RecordBatch:
         """Returns the records from `offset`, waiting up to `wait_s` for the first one.
--- a/anviltray/platform/_transport.py
+++ b/anviltray/platform/_transport.py
@@ -7,6 +7,13 @@
 from anviltray.platform._interface import PlatformError, PlatformUnavailable
 from anviltray.telemetry import describe_error
 
+# Limit for the body of one response and for all pages of one call.
+BODY_LIMIT_BYTES = 33_554_432
+
+
+class ResponseTooLarge(ValueError):
+    """A response body is larger than a valid one can be."""
+
 
 class ResponseLost(PlatformError):
     """No complete response arrived, so the call may have taken effect."""
@@ -43,7 +50,7 @@
         url = f"{self._url}{path}"
         try:
             async with self._session.request(method, url, timeout=timeout, **arguments) as response:
-                return Response(response.status, await response.read())
+                return Response(response.status, await read_body(response))
         except aiohttp.ClientConnectorError as error:
             raise PlatformUnavailable(f"{path}: {error}") from error
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
@@ -56,3 +63,14 @@
         session, self._session = self._session, None
         if session is not None:
             await session.close()
+
+
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Returns the whole body; raises ResponseTooLarge and the errors of aiohttp."""
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > BODY_LIMIT_BYTES:
+            response.close()
+            raise ResponseTooLarge(f"the response body is larger than {BODY_LIMIT_BYTES} bytes")
+    return bytes(body)
--- a/anviltray/platform/tests/test_store.py
+++ b/anviltray/platform/tests/test_store.py
@@ -1,10 +1,15 @@
 """Guards against store failures that are classified wrongly, and against misread records."""
 
 import asyncio
+import base64
+import json
+import time
 
 import pytest
+from aiohttp import web
 
 from anviltray.platform import (
+    BODY_LIMIT_BYTES,
     AppendConflict,
     AppendRejected,
     AppendUnknown,
@@ -152,3 +157,47 @@
             await store.read("keyed.t", 0, 0.0)
 
     run(test)
+
+
+BUFFERED_BYTES = 16_000_000  # In the sockets and in the buffers of both sides.
+MAX_PAGES = 100
+
+
+async def body_without_end(request, sent):
+    response = web.StreamResponse()
+    await response.prepare(request)
+    while True:
+        await response.write(b" " * 65536)
+        sent.append(65536)
+
+
+async def pages_without_end(request, sent):
+    item = {"key": f"k{len(sent):06d}", "value": base64.b64encode(b"x" * 1_000_000).decode()}
+    text = json.dumps({"items": [item], "end": 1, "more": len(sent) < MAX_PAGES})
+    sent.append(len(text))
+    return web.Response(text=text)
+
+
+@pytest.mark.parametrize("respond", [body_without_end, pages_without_end])
+def test_newest_records_without_end_are_not_kept(respond):
+    sent = []
+
+    async def main():
+        server = web.Server(lambda request: respond(request, sent))
+        runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        store = KeyedStore(f"127.0.0.1:{port}", 30.0)
+        started_s = time.monotonic()
+        try:
+            with pytest.raises(PlatformUnavailable):
+                await store.read_newest("keyed.t")
+        finally:
+            await store.close()
+            await runner.cleanup()
+        assert time.monotonic() - started_s < 30.0
+
+    asyncio.run(main())
+    assert sum(sent) < BODY_LIMIT_BYTES + BUFFERED_BYTES
--- a/anviltray/zone/_snapshots.py
+++ b/anviltray/zone/_snapshots.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from anviltray.messages import MessageError, StoreSnapshot, decode_message, encode_message
+from anviltray.platform import ResponseTooLarge, read_body
 from anviltray.telemetry import describe_error
 
 SNAPSHOT_PATH = "/.anviltray/snapshot"
@@ -39,8 +40,8 @@
         ):
             if response.status != 200:
                 raise SnapshotUnavailable(f"{address}: status {response.status}")
-            message = decode_message(await response.read())
-    except (TimeoutError, aiohttp.ClientError, OSError, MessageError) as error:
+            message = decode_message(await read_body(response))
+    except (TimeoutError, aiohttp.ClientError, OSError, ResponseTooLarge, MessageError) as error:
         raise SnapshotUnavailable(f"{address}: {describe_error(error)}") from error
     if not isinstance(message, StoreSnapshot):
         raise SnapshotUnavailable(f"{address}: expected a snapshot, found another message type")
--- a/anviltray/zone/tests/test_snapshots.py
+++ b/anviltray/zone/tests/test_snapshots.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from anviltray.messages import KeyedChange, StoreSnapshot, encode_message
+from anviltray.platform import BODY_LIMIT_BYTES
 from anviltray.platform.tests.documents import configuration, registration
 from anviltray.zone import (
     SNAPSHOT_CODING,
@@ -22,6 +23,7 @@
 ROUTES = 1400
 # Half of the time within which all hosts there must have applied a configuration.
 TIME_LIMIT_S = 1.5
+BUFFERED_BYTES = 16_000_000  # In the sockets and in the buffers of both sides.
 
 
 def large_snapshot():
@@ -68,10 +70,35 @@
     async def respond(request):
         return web.Response(status=status, body=body, headers={"Content-Encoding": coding})
 
+    if received:
+        assert fetch_from(respond) == large_snapshot()
+    else:
+        with pytest.raises(SnapshotUnavailable):
+            fetch_from(respond)
+
+
+def test_snapshot_without_end_is_not_kept():
+    sent = []
+
+    async def respond(request):
+        response = web.StreamResponse()
+        await response.prepare(request)
+        while True:
+            await response.write(b"x" * 65536)
+            sent.append(65536)
+
+    with pytest.raises(SnapshotUnavailable):
+        fetch_from(respond)
+    assert sum(sent) < BODY_LIMIT_BYTES + BUFFERED_BYTES
+
+
+def fetch_from(respond):
+    """Returns what `fetch_snapshot` gets from a host that responds with `respond`."""
+
     async def main():
         application = web.Application()
         application.router.add_get(SNAPSHOT_PATH, respond)
-        runner = web.AppRunner(application)
+        runner = web.AppRunner(application, shutdown_timeout=0.1)
         await runner.setup()
         site = web.TCPSite(runner, "127.0.0.1", 0)
         await site.start()
@@ -81,8 +108,4 @@
         finally:
             await runner.cleanup()
 
-    if received:
-        assert asyncio.run(main()) == large_snapshot()
-    else:
-        with pytest.raises(SnapshotUnavailable):
-            asyncio.run(main())
+    return asyncio.run(main())
