--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -21,6 +21,12 @@
 from anviltray.edge._call import EdgeCall
 from anviltray.edge._loans import RetryLoans
 from anviltray.edge._metrics import EdgeMetrics
+from anviltray.edge._progress import (
+    MIN_FAILURE_STATUS,
+    AttemptResult,
+    RequestProgress,
+    is_success,
+)
 from anviltray.edge._response_buffer import ResponseBuffer, ResponseMemory
 from anviltray.edge._state import EdgeState
 from anviltray.platform import decode_statements, is_promise
@@ -71,50 +77,6 @@
 _BODY_TIMEOUT = Problem(408, "body-timeout", "the request body took too long", close=True)
 _INTERNAL_ERROR = Problem(500, "internal-error", "the host failed", "unknown", close=True)
 
-_MIN_FAILURE_STATUS = 500  # Lower statuses do not report a server failure (RFC 9110, 15.6).
-
-AttemptResult = CompleteResponse | NotExecuted | OutcomeUnknown
-
-
-def _is_success(result: AttemptResult | None) -> bool:
-    """Returns whether an attempt has a response for the caller; None means it was streamed."""
-    if isinstance(result, CompleteResponse):
-        return result.status < _MIN_FAILURE_STATUS
-    return result is None
-
-
-class _Progress:
-    """Accumulated results of the attempts of one request."""
-
-    __slots__ = (
-        "attempts",
-        "connect_failures",
-        "may_have_executed",
-        "problem",
-        "response",
-        "tried_instances",
-    )
-
-    def __init__(self) -> None:
-        self.tried_instances: frozenset[str] = frozenset()  # Ids of the instances chosen so far.
-        self.attempts = 0  # Attempts that reached an instance or may have.
-        self.connect_failures = 0
-        self.may_have_executed = False
-        self.response: CompleteResponse | None = None  # The latest one.
-        self.problem = _REFUSED
-
-    def record(self, placed: Placed, result: AttemptResult) -> None:
-        """Records the result of one attempt."""
-        self.tried_instances |= {placed.instance.id}
-        if isinstance(result, NotExecuted) and not result.reached_instance:
-            self.connect_failures += 1
-            return
-        self.attempts += 1
-        if isinstance(result, CompleteResponse):
-            self.response = result
-        elif isinstance(result, OutcomeUnknown):
-            self.may_have_executed = True
-
 
 class EdgeDispatcher:
     """ASGI application that proxies the requests of one host."""
@@ -240,7 +202,7 @@
         latency_s = call.elapsed_s()
         self._metrics.record_response(call.service, status, latency_s)
         if status:
-            self._state.unserved.on_request_ended(now_s, call.service, status < _MIN_FAILURE_STATUS)
+            self._state.unserved.on_request_ended(now_s, call.service, status < MIN_FAILURE_STATUS)
         _log.info(
             "request completed" if status else "caller disconnected",
             extra={
@@ -280,7 +242,7 @@
         if not self._state.accepts_requests:
             return self._end_with_problem(call, _STOPPING)
         self._state.retry_budget(call.service).record_request(self._state.clock.now_s())
-        progress = _Progress()
+        progress = RequestProgress(_REFUSED)
         # Timers are late after a suspension of the host, so each attempt checks the time.
         while call.remaining_s() > 0:
             placed = self._choose_instance(call, progress)
@@ -303,7 +265,7 @@
         problem = _UPSTREAM_FAILED if progress.may_have_executed else progress.problem
         return self._end_with_problem(call, problem)
 
-    def _choose_instance(self, call: EdgeCall, progress: "_Progress") -> Placed | Shed:
+    def _choose_instance(self, call: EdgeCall, progress: RequestProgress) -> Placed | Shed:
         state, route = self._state, call.route
         now_s = self._loop.time()
         first = progress.attempts == 0
@@ -327,7 +289,7 @@
         return self._state.can_explore(service) or self._loans.has_prospect(service)
 
     async def _choose_hedge(
-        self, call: EdgeCall, progress: "_Progress", first: Placed
+        self, call: EdgeCall, progress: RequestProgress, first: Placed
     ) -> Placed | None:
         """Returns an instance with a free slot for a second attempt; acquires its retry budget."""
         state, route = self._state, call.route
@@ -353,7 +315,7 @@
         return placed
 
     async def _should_retry(
-        self, call: EdgeCall, progress: "_Progress", result: "AttemptResult"
+        self, call: EdgeCall, progress: RequestProgress, result: AttemptResult
     ) -> bool:
         """Returns whether to make another attempt; acquires its retry budget.
 
@@ -382,7 +344,7 @@
         return False
 
     async def _attempt_hedged(
-        self, call: EdgeCall, placed: Placed, progress: "_Progress"
+        self, call: EdgeCall, placed: Placed, progress: RequestProgress
     ) -> tuple[Placed, AttemptResult | None]:
         """Sends the request, and if the response is overdue also to a second instance.
 
@@ -413,7 +375,7 @@
                 for task in done:
                     placed, result = running.pop(task), task.result()
                     streaming = result is not None and call.exchange.response_started
-                    if not running or (_is_success(result) and not streaming):
+                    if not running or (is_success(result) and not streaming):
                         return placed, result
                     if result is not None:
                         progress.record(placed, result)
@@ -471,7 +433,7 @@
             if isinstance(result, CompleteResponse)
             else ("passed-on" if result is None else result.reason)
         )
-        if _is_success(result):
+        if is_success(result):
             self._record_response_time(call, recorder)
         return result
 
