Close the connections of three tests before their event loop

Evidence: collecting garbage after each test of callers, upstreams, state/exchange, testing, four files of edge and the tests of relay and upstream named seven cases of three tests that leave a writer open; none does now. Change: test_responses.py, test_soak.py of callers and test_relay.py close their writers; no check changes.

--- a/anviltray/callers/tests/test_responses.py
+++ b/anviltray/callers/tests/test_responses.py
@@ -105,6 +105,7 @@
         for _ in range(size // len(block)):
             writer.write(block)
             await writer.drain()
+        writer.close()
 
     async def send(writer):
         framing = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {size}"
--- a/anviltray/callers/tests/test_soak.py
+++ b/anviltray/callers/tests/test_soak.py
@@ -70,6 +70,8 @@
         if response.headers.get("connection") == "close":
             writer.close()
             writer = None
+    if writer is not None:
+        writer.close()
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
--- a/anviltray/edge/_response_buffer.py
+++ b/anviltray/edge/_response_buffer.py
@@ -8,8 +8,6 @@
 # Larger responses are streamed to the caller as they arrive; once streaming has begun, a retry is
 # no longer possible.
 MAX_BUFFERED_BYTES = 262144
-
-
 # Shares of the memory limit of the process. The rest is for the process itself and for requests.
 _BUFFERED_SHARE = 0.125
 _STREAMED_SHARE = 0.5
--- a/standins/tests/test_relay.py
+++ b/standins/tests/test_relay.py
@@ -166,8 +166,10 @@
 def test_an_unreachable_target_resets_the_connection():
     async def scenario(relay, target):
         relay.target = "127.0.0.1:1"
+        reader, writer = await connect(relay)
         with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
-            await exchange(await connect(relay), wait_s=5)
+            await exchange((reader, writer), wait_s=5)
+        writer.close()
 
     run(scenario)
 
