Log the connection of each attempt and why a response is not used

Each entry of sends now has the number of the connection in the process, the number of the request on it and the error; the event foreign_responses is counted. No change of logic.

--- a/anviltray/callers/_attempt.py
+++ b/anviltray/callers/_attempt.py
@@ -5,6 +5,7 @@
 from anviltray.callers._context import CallerContext
 from anviltray.decisions import ExchangeOutcome
 from anviltray.decisions.attempts import AttemptEvent, RequestAttempts
+from anviltray.upstreams import ConnectionUse
 
 
 class Attempt:
@@ -64,7 +65,7 @@
         )
         context.load_tracker.on_exchange_started(self.address)
 
-    def on_write_start(self, acknowledged: Callable[[], bool]) -> None:
+    def on_write_start(self, use: ConnectionUse, acknowledged: Callable[[], bool]) -> None:
         """Called before the first byte of the request is written."""
         self.written = True
         self._attempts.record(self.number, AttemptEvent.WRITE)
--- a/anviltray/edge/_attempt.py
+++ b/anviltray/edge/_attempt.py
@@ -14,6 +14,7 @@
     Placed,
 )
 from anviltray.decisions.retries import LateStage
+from anviltray.upstreams import ConnectionUse
 
 _log = logbook.Logger("anviltray.placement")
 
@@ -31,6 +32,8 @@
         "_loop",
         "_service",
         "_timer",
+        "connection_use",
+        "error",
         "fresh_connection",
         "not_executed",
         "on_evidence",
@@ -60,6 +63,8 @@
         self._ended = False
         self.placed = placed
         self.fresh_connection: bool | None = None  # None until a connection was chosen.
+        self.connection_use: ConnectionUse | None = None  # None until the first byte is written.
+        self.error = ""  # Why the response cannot be used; empty if it can.
         self.response_status = 0  # Status of the response head; 0 until it arrives.
         self.not_executed = False  # Whether the response says that the request has not run.
         self.retry_after_s = 0.0  # Time for which the instance wants no other request.
@@ -75,9 +80,10 @@
         """Records for the log whether a new connection was opened."""
         self.fresh_connection = fresh
 
-    def on_write_start(self, acknowledged: Callable[[], bool]) -> None:
+    def on_write_start(self, use: ConnectionUse, acknowledged: Callable[[], bool]) -> None:
         """Starts the timers of the attempt; the first byte is about to be written."""
         self.written = True
+        self.connection_use = use
         self.started_s = self._loop.time()
         self._acknowledged = acknowledged
         self._timer = self._loop.call_later(ACCEPTED_AFTER_S, self._check_accepted)
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -35,6 +35,7 @@
     MISDIRECTED,
     ConnectFailed,
     ConnectionsExhausted,
+    ForeignResponse,
     InvalidResponse,
     UpstreamError,
     UpstreamRequest,
@@ -58,6 +59,7 @@
 # requests at once.
 _LOAD_GRACE_S = 3.0
 _DEFAULT_RETRY_AFTER_S = 0.4  # Retry-After if placement gives no estimate.
+_LOGGED_ERROR_LENGTH = 200  # Errors may quote what the instance has sent.
 _MIN_RETRY_AFTER_S = 0.1  # Retry-After if another host can serve the request at once.
 
 _NOT_READY = Problem(
@@ -423,10 +425,14 @@
                 call.sent = True
             if recorder.retry_after_s:
                 entry["retry_after_s"] = recorder.retry_after_s
+            if recorder.error:
+                entry["error"] = recorder.error
             if recorder.response_status:
                 entry["response_status"] = recorder.response_status
                 entry["not_executed"] = recorder.not_executed
             entry["new_connection"] = recorder.fresh_connection
+            if recorder.connection_use is not None:
+                entry |= recorder.connection_use._asdict()
             entry["ms"] = round((self._loop.time() - recorder.started_s) * 1000)
         entry["result"] = (
             result.status
@@ -472,6 +478,9 @@
                 raise call.body.error from error
             recorder.finish(ExchangeOutcome.BROKEN)
             client.close_idle(recorder.placed.instance.address)
+            recorder.error = str(error)[:_LOGGED_ERROR_LENGTH]
+            if isinstance(error, ForeignResponse):
+                self._metrics.count("foreign_responses")
             return OutcomeUnknown("invalid" if isinstance(error, InvalidResponse) else "broken")
         finally:
             if response is not None:
--- a/anviltray/edge/tests/test_operations.py
+++ b/anviltray/edge/tests/test_operations.py
@@ -8,7 +8,16 @@
 import logbook
 import pytest
 
-from anviltray.edge.tests.support import Fleet, configuration, refuse, reset, respond, route
+from anviltray.edge.tests.support import (
+    SEAL,
+    Fleet,
+    configuration,
+    in_turn,
+    refuse,
+    reset,
+    respond,
+    route,
+)
 
 
 def logged_lines(tmp_path, test, *handlers):
@@ -40,6 +49,21 @@
     assert 0 < send["unhealthy_probability"] < 1
 
 
+def test_response_to_another_request_on_the_same_connection(tmp_path):
+    async def test(fleet):
+        for request_id in ("first", "second"):
+            await fleet.call("POST /order/1", b"x", request_id=request_id)
+        assert b'{event="foreign_responses"} 1.0' in (await fleet.page("/metrics")).body
+
+    foreign = respond(headers=f"{SEAL}Request-Id: zeroth\r\n", echo=False)
+    lines = logged_lines(tmp_path, test, in_turn(respond(), foreign))
+    (first,), (second,) = (request_line(lines, each)["sends"] for each in ("first", "second"))
+    assert first["connection"] == second["connection"]
+    assert (first["exchange"], second["exchange"]) == (1, 2)
+    assert "error" not in first
+    assert "zeroth" in second["error"]
+
+
 @pytest.mark.parametrize("instances", [1, 2])
 def test_request_refused_by_overloaded_instances(tmp_path, instances):
     async def test(fleet):
--- a/anviltray/edge/tests/test_send.py
+++ b/anviltray/edge/tests/test_send.py
@@ -10,8 +10,10 @@
 from anviltray.decisions.retries import LateStage
 from anviltray.edge._attempt import AttemptRecorder
 from anviltray.testing import run_with_virtual_clock
+from anviltray.upstreams import ConnectionUse
 
 FIRST_CHECK_S = 0.1
+USE = ConnectionUse(connection=1, exchange=1)
 
 
 @pytest.mark.parametrize(
@@ -31,7 +33,7 @@
         recorder = AttemptRecorder(tracker, "keeper", Placed(instance(1), 0.2, 0.3, 1.0, False))
         start_s = loop.time()
         before = tracker.health("i-1").unhealthy_probability(start_s)
-        recorder.on_write_start(lambda: loop.time() - start_s >= acknowledged_after_s)
+        recorder.on_write_start(USE, lambda: loop.time() - start_s >= acknowledged_after_s)
         await asyncio.sleep(FIRST_CHECK_S)
         if acknowledged_after_s > FIRST_CHECK_S:
             assert tracker.health("i-1").unhealthy_probability(loop.time()) == pytest.approx(before)
@@ -66,7 +68,7 @@
         recorder = AttemptRecorder(tracker, "keeper", placed, stages)
         reports_s = []
         recorder.on_evidence = lambda: reports_s.append(loop.time() - recorder.started_s)
-        recorder.on_write_start(lambda: True)
+        recorder.on_write_start(USE, lambda: True)
         await asyncio.sleep(ended_after_s)
         recorder.finish(outcome)
         await asyncio.sleep(1.0)  # No stage is reported after the end.
--- a/anviltray/upstreams/__init__.py
+++ b/anviltray/upstreams/__init__.py
@@ -7,11 +7,13 @@
     UpstreamRequest,
     UpstreamResponse,
 )
+from anviltray.upstreams._connector import ConnectionUse
 from anviltray.upstreams._dialect import MISDIRECTED, Dialect, Signals
 from anviltray.upstreams._errors import (
     ConnectFailed,
     ConnectionsExhausted,
     ExchangeBroken,
+    ForeignResponse,
     InvalidResponse,
     UpstreamError,
 )
@@ -21,10 +23,12 @@
     "HOP_BY_HOP",
     "MISDIRECTED",
     "ConnectFailed",
+    "ConnectionUse",
     "ConnectionsExhausted",
     "Dialect",
     "ExchangeBroken",
     "ExchangeObserver",
+    "ForeignResponse",
     "InvalidResponse",
     "Signals",
     "NullObserver",
--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -24,12 +24,13 @@
 from anviltray.settings import UpstreamSettings
 from anviltray.telemetry import describe_error
 from anviltray.upstreams._acknowledgement import is_acknowledged
-from anviltray.upstreams._connector import UpstreamConnector
+from anviltray.upstreams._connector import ConnectionUse, UpstreamConnector
 from anviltray.upstreams._dialect import NO_SIGNALS, Dialect, Signals
 from anviltray.upstreams._errors import (
     ConnectFailed,
     ConnectionsExhausted,
     ExchangeBroken,
+    ForeignResponse,
     InvalidResponse,
     UpstreamError,
 )
@@ -66,10 +67,11 @@
     def on_connection(self, fresh: bool) -> None:
         """Called when an idle connection was chosen, or before a new one (`fresh`) is opened."""
 
-    def on_write_start(self, acknowledged: Callable[[], bool]) -> None:
+    def on_write_start(self, use: ConnectionUse, acknowledged: Callable[[], bool]) -> None:
         """Called before the first byte of the request is written.
 
-        `acknowledged` returns whether the kernel of the upstream has acknowledged all sent data.
+        `use` identifies the connection and the exchange on it. `acknowledged` returns whether the
+        kernel of the upstream has acknowledged all sent data.
         """
 
     def on_first_byte(self) -> None:
@@ -82,7 +84,7 @@
     def on_connection(self, fresh: bool) -> None:
         """See ExchangeObserver."""
 
-    def on_write_start(self, acknowledged: Callable[[], bool]) -> None:
+    def on_write_start(self, use: ConnectionUse, acknowledged: Callable[[], bool]) -> None:
         """See ExchangeObserver."""
 
     def on_first_byte(self) -> None:
@@ -265,7 +267,8 @@
         # A streamed body always has segments in flight, so these are not evidence of a fault.
         buffered = request.body is None or isinstance(request.body, bytes)
         transport = protocol.transport if buffered else None
-        observer.on_write_start(lambda: is_acknowledged(transport))
+        use = self._connector.start_exchange(connection)
+        observer.on_write_start(use, lambda: is_acknowledged(transport))
         response: ClientResponse | None = None
         try:
             response = await message.send(connection)
@@ -342,16 +345,16 @@
         return UpstreamResponse(response, headers, signals)
 
     def _check_request_id(self, request_id: str | None, response: ClientResponse) -> None:
-        """Raises InvalidResponse if the response is not certain to belong to the request.
+        """Raises ForeignResponse if the response is not certain to belong to the request.
 
         An upstream may write a response to an earlier request once more. Nothing in it says what
         happened to this request, not even that it was refused.
         """
         found = response.headers.getall(self.dialect.request_id_header, ())
         if any(value != request_id for value in found):
-            raise InvalidResponse(f"the response belongs to request {found!r}")
+            raise ForeignResponse(f"the response belongs to request {found!r}")
         if self._settings.require_request_id and request_id is not None and not found:
-            raise InvalidResponse("the response has no request identifier")
+            raise ForeignResponse("the response has no request identifier")
 
     async def probe(self, address: str, timeout_s: float) -> bool:
         """Queries the health endpoint over a new connection; any failure counts as unhealthy."""
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import functools
+import itertools
 import math
 import re
 import select
 from http import HTTPStatus
 from time import monotonic
-from typing import Any
+from typing import Any, NamedTuple
 
 from aiohttp import ClientPayloadError, ClientTimeout, StreamReader, TCPConnector, hdrs
 from aiohttp.client_proto import ResponseHandler
@@ -28,9 +29,17 @@
 # Share of the idle timeout stated by an upstream in which its connections are reused. A request
 # that crosses the close of its connection is lost.
 _KEEP_ALIVE_SHARE = 0.8
+_connection_numbers = itertools.count(1)
 _KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[,;\s])timeout\s*=\s*\"?(\d{1,6})", re.IGNORECASE)
 
 
+class ConnectionUse(NamedTuple):
+    """Identifies one exchange on one connection, for logs."""
+
+    connection: int  # Number of the connection, unique in this process.
+    exchange: int  # Number of the exchange on this connection, from 1.
+
+
 class _ResponseHandler(ResponseHandler):
     """Delivers a complete response whatever follows it, and bounds bytes that are no response.
 
@@ -42,6 +51,8 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop=loop)
         self.idle_limit_s = math.inf  # From the idle timeout that the upstream has stated.
+        self._number = next(_connection_numbers)
+        self._exchange_count = 0
         self._has_final_head = False
         self._last_bytes = b""  # End of the data so far, as a head may end across two segments.
         self._head_bytes = 0
@@ -53,6 +64,11 @@
         super().connection_made(transport)
         transport.max_size = _READ_LIMIT_BYTES  # type: ignore[attr-defined]
 
+    def start_exchange(self) -> ConnectionUse:
+        """Counts the exchange whose request is about to be written."""
+        self._exchange_count += 1
+        return ConnectionUse(self._number, self._exchange_count)
+
     def set_response_params(self, **arguments: Any) -> None:
         """Prepares for the response to the next request on this connection."""
         self._has_final_head = False
@@ -229,6 +245,12 @@
                 del self._conns[key]
         return True
 
+    def start_exchange(self, connection: Connection) -> ConnectionUse:
+        """Registers an exchange on an acquired connection; called before its request is written."""
+        protocol = connection.protocol
+        assert isinstance(protocol, _ResponseHandler)
+        return protocol.start_exchange()
+
     def close_idle(self, key: ConnectionKey) -> None:
         """Closes all idle connections to an instance, so that the next exchange opens a new one."""
         for protocol, _ in self._conns.pop(key, ()):
--- a/anviltray/upstreams/_errors.py
+++ b/anviltray/upstreams/_errors.py
@@ -28,3 +28,7 @@
 
 class InvalidResponse(UpstreamError):
     """The response of the upstream cannot be forwarded as a complete response."""
+
+
+class ForeignResponse(InvalidResponse):
+    """The response does not say that it belongs to the request."""
--- a/anviltray/upstreams/tests/test_client.py
+++ b/anviltray/upstreams/tests/test_client.py
@@ -25,13 +25,13 @@
 
 class Observer(NullObserver):
     def __init__(self):
-        self.fresh, self.written = None, False
+        self.fresh, self.written, self.use = None, False, None
 
     def on_connection(self, fresh):
         self.fresh = fresh
 
-    def on_write_start(self, acknowledged):
-        self.written, self.acknowledged = True, acknowledged
+    def on_write_start(self, use, acknowledged):
+        self.written, self.use, self.acknowledged = True, use, acknowledged
 
 
 def run(test, handler, **settings):
