Show that refused requests are executed on the connection that refused them

Callers are told 503 for a request that an instance has executed, and with two instances it is executed twice: the instance writes its earlier refusal again, ahead of or instead of the response.

--- a/anviltray/callers/tests/test_attempts.py
+++ b/anviltray/callers/tests/test_attempts.py
@@ -125,6 +125,36 @@
     run(answers, test)
 
 
+@pytest.mark.parametrize("head", ["GET /levels", "POST /crews"])
+@pytest.mark.parametrize("same_request", [True, False])
+def test_refusal_written_again_on_a_kept_connection(head, same_request):
+    """The node goes back to its only upstream, or another request uses the connection."""
+    refused, executed = set(), []
+
+    async def answer(request, writer):
+        if writer in refused:
+            executed.append(request)
+            return await SHED(request, writer)
+        if request.line.startswith("GET /levels/first"):
+            return await ok()(request, writer)
+        if not refused:
+            refused.add(writer)
+            return await SHED(request, writer)
+        executed.append(request)
+        return await ok()(request, writer)
+
+    async def test(node, upstreams):
+        await node.call("GET /levels/first")
+        if not same_request:
+            node.context.budget.allowed = 0
+            assert (await node.call(head)).headers["anviltray-outcome"] == "not-run"
+        response = await node.call(head)
+        assert response.headers["anviltray-outcome"] == "done"
+        assert len(executed) == 1
+
+    run([answer], test)
+
+
 def test_the_retry_budget_bounds_extra_attempts():
     async def test(node, upstreams):
         node.context.budget.allowed = 2
--- a/anviltray/upstreams/tests/test_client.py
+++ b/anviltray/upstreams/tests/test_client.py
@@ -451,3 +451,100 @@
         assert observer.acknowledged() is expected
 
     run(test, ok())
+
+
+def repeat_first_response(head, body=b"first"):
+    """Returns a handler that writes the first response of each connection again to its requests.
+
+    The heads have no identifier unless `head` adds one.
+    """
+    connections = set()
+
+    async def handler(request, writer):
+        first = writer not in connections
+        connections.add(writer)
+        request_id = request.headers.get("x-request-id", "")
+        text = head.format(id=request_id) if first else head.format(id="r1")
+        writer.write(f"HTTP/1.1 {text}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+        await writer.drain()
+
+    return handler
+
+
+R1 = POST._replace(request_id="r1", headers=[("X-Request-Id", "r1")])
+R2 = POST._replace(request_id="r2", headers=[("X-Request-Id", "r2")])
+REFUSED = "503 Full\r\nX-Shed: 1"
+REFUSED_WITH_ID = f"{REFUSED}\r\nX-Request-Id: {{id}}"
+OK_WITH_ID = "200 OK\r\nX-Request-Id: {id}"
+
+
+async def probe(client, address):
+    assert not await client.probe(address, 1.0)
+
+
+async def cancel(client, address):
+    await client.cancel(address, "r1", 1.0)
+
+
+def sending(request):
+    async def send(client, address):
+        await exchange(client, address, request)
+
+    return send
+
+
+@pytest.mark.parametrize(
+    ("head", "first", "second", "connections"),
+    [
+        # The identifier of a repeated response says nothing about the same request.
+        pytest.param(REFUSED_WITH_ID, sending(R1), R1, 2, id="refused"),
+        pytest.param(OK_WITH_ID, cancel, R1, 2, id="cancelled"),
+        # Without an identifier it says nothing about any request.
+        pytest.param(REFUSED, sending(R1), R1, 2, id="refused-without-id"),
+        pytest.param(REFUSED, sending(R1), R2, 2, id="other-refused-without-id"),
+        pytest.param(REFUSED, sending(GET), R2, 2, id="nameless-refused"),
+        pytest.param(REFUSED, sending(GET), GET, 2, id="both-nameless"),
+        pytest.param(REFUSED, probe, R2, 2, id="probe-refused"),
+        # These connections are kept: nothing was refused.
+        pytest.param("200 OK", sending(R1), R2, 1, id="executed"),
+        pytest.param("200 OK", sending(GET), GET, 1, id="nameless-executed"),
+    ],
+)
+def test_repeated_response_reaches_no_request_that_it_could_belong_to(
+    head, first, second, connections
+):
+    async def test(client, upstream):
+        await first(client, upstream.address)
+        await exchange(client, upstream.address, second)
+        assert upstream.connections == connections
+
+    run(test, repeat_first_response(head))
+
+
+def test_connection_does_not_forget_which_requests_it_has_carried():
+    """Guards against a bound on what is kept for a connection that makes it forget a refusal."""
+    count = 600
+
+    async def test(client, upstream):
+        for number in range(count):
+            request_id = f"n{number}"
+            request = R1._replace(request_id=request_id, headers=[("X-Request-Id", request_id)])
+            await exchange(client, upstream.address, request)
+        for number in range(0, count, 7):
+            request_id = f"n{number}"
+            request = R1._replace(request_id=request_id, headers=[("X-Request-Id", request_id)])
+            await exchange(client, upstream.address, request)
+        assert not [key for key, times in carried.items() if times > 1]
+        # Less than one connection for 100 requests is opened in order not to forget.
+        assert upstream.connections <= 2 + len(upstream.requests) // 100
+
+    carried = {}
+
+    async def handler(request, writer):
+        key = (writer, request.headers["x-request-id"])
+        carried[key] = carried.get(key, 0) + 1
+        head = f"HTTP/1.1 {REFUSED_WITH_ID.format(id=key[1])}\r\nContent-Length: 0\r\n\r\n"
+        writer.write(head.encode())
+        await writer.drain()
+
+    run(test, handler)
