Let a connection to an instance carry each request identifier once

Callers were told that a request had not run, which had (REFUSED), or it ran at a second instance (TWICE).

Cause: a refusal is believed if it bears the identifier of the request, but the connection says nothing about when it was written. If a connection has refused a request and carries the same request again, a copy of the refusal has the right identifier. The identifier comes again with a caller that keeps it, with an instance that has another id at the same address, with a node that goes back to its only upstream, and with a cancellation, whose connection returns to the pool.

A connection now keeps the hashes of the identifiers that it has carried, up to 256, and then retires; a request takes the most recently used idle connection that has not carried it, else a new one. Whatever arrives with an identifier then is the first response to it on that connection. Refusals of other requests leave connections in use, so new connections are opened only for requests that come again, and for at most one of 256 others.

--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -55,7 +55,8 @@
     chunked: bool = False  # Whether the length of a streamed body is not in the headers.
     unrepeatable: bool = False  # Requires a connection that was idle only for a short time.
     fresh: bool = False  # Requires a new connection.
-    request_id: str | None = None  # Identifier that the response must not contradict.
+    # Identifier that the response must not contradict, and that its connection has not carried.
+    request_id: str | None = None
 
 
 class ExchangeObserver(Protocol):
@@ -267,7 +268,7 @@
         # A streamed body always has segments in flight, so these are not evidence of a fault.
         buffered = request.body is None or isinstance(request.body, bytes)
         transport = protocol.transport if buffered else None
-        use = self._connector.start_exchange(connection)
+        use = self._connector.start_exchange(connection, request.request_id)
         observer.on_write_start(use, lambda: is_acknowledged(transport))
         response: ClientResponse | None = None
         try:
@@ -296,7 +297,7 @@
         key = self._key(address)
         if not request.fresh:
             limit_s = self._idle_limit_s(request.unrepeatable)
-            connection = self._connector.acquire_idle(key, limit_s)
+            connection = self._connector.acquire_idle(key, limit_s, request.request_id)
             if connection is not None:
                 observer.on_connection(False)
                 return connection
@@ -348,7 +349,8 @@
         """Raises ForeignResponse if the response is not certain to belong to the request.
 
         An upstream may write a response to an earlier request once more. Nothing in it says what
-        happened to this request, not even that it was refused.
+        happened to this request, not even that it was refused. A response to an earlier attempt of
+        the same request cannot arrive here, as a connection carries an identifier once.
         """
         found = response.headers.getall(self.dialect.request_id_header, ())
         if any(value != request_id for value in found):
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -6,6 +6,7 @@
 import math
 import re
 import select
+from array import array
 from http import HTTPStatus
 from time import monotonic
 from typing import Any, NamedTuple
@@ -29,6 +30,9 @@
 # Share of the idle timeout stated by an upstream in which its connections are reused. A request
 # that crosses the close of its connection is lost.
 _KEEP_ALIVE_SHARE = 0.8
+# Requests with an identifier that one connection carries, as it keeps their identifiers. Each takes
+# 8 bytes, and a new connection for so many requests costs an instance little.
+_IDENTIFIER_LIMIT = 256
 _connection_numbers = itertools.count(1)
 _KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[,;\s])timeout\s*=\s*\"?(\d{1,6})", re.IGNORECASE)
 
@@ -53,6 +57,7 @@
         self.idle_limit_s = math.inf  # From the idle timeout that the upstream has stated.
         self._number = next(_connection_numbers)
         self._exchange_count = 0
+        self._identifier_hashes = array("q")  # Of the requests that this connection has carried.
         self._has_final_head = False
         self._last_bytes = b""  # End of the data so far, as a head may end across two segments.
         self._head_bytes = 0
@@ -64,11 +69,22 @@
         super().connection_made(transport)
         transport.max_size = _READ_LIMIT_BYTES  # type: ignore[attr-defined]
 
-    def start_exchange(self) -> ConnectionUse:
-        """Counts the exchange whose request is about to be written."""
+    def start_exchange(self, request_id: str | None) -> ConnectionUse:
+        """Registers the exchange whose request is about to be written."""
         self._exchange_count += 1
+        if request_id is not None:
+            self._identifier_hashes.append(hash(request_id))
+            if len(self._identifier_hashes) >= _IDENTIFIER_LIMIT:
+                self._should_close = True
         return ConnectionUse(self._number, self._exchange_count)
 
+    def has_carried(self, request_id: str) -> bool:
+        """Returns whether a request with this identifier was written; may be wrong if it was not.
+
+        Two identifiers with the same hash only cost another connection.
+        """
+        return hash(request_id) in self._identifier_hashes
+
     def set_response_params(self, **arguments: Any) -> None:
         """Prepares for the response to the next request on this connection."""
         self._has_final_head = False
@@ -169,6 +185,9 @@
     most recently used one, so that surplus connections reach the idle limit and are closed. It
     first checks a connection for unread input, so that a closed connection or a late response is
     detected before a byte of the next request is written.
+
+    A connection carries one identifier once. An upstream may write a response again, and if the
+    same request were under way on the connection, nothing would tell the copy from its response.
     """
 
     def __init__(
@@ -188,18 +207,25 @@
         self.connections_per_instance = connections_per_instance
         self._open_counts: dict[ConnectionKey, int] = {}  # Connections in use or being opened.
 
-    def acquire_idle(self, key: ConnectionKey, idle_limit_s: float) -> Connection | None:
-        """Returns an idle connection within the idle limit, or None if there is none."""
+    def acquire_idle(
+        self, key: ConnectionKey, idle_limit_s: float, request_id: str | None
+    ) -> Connection | None:
+        """Returns an idle connection within the idle limit for a request, or None if there is none.
+
+        The connection has not carried a request with the identifier `request_id`.
+        """
         idle = self._conns.get(key)
         if idle is None:
             return None
         now = monotonic()
         reused: ResponseHandler | None = None
-        while idle:
-            protocol, idle_since = idle[-1]
+        for index in reversed(range(len(idle))):
+            protocol, idle_since = idle[index]
             if now - idle_since > min(idle_limit_s, _stated_limit_s(protocol)):
                 break  # The remaining ones have been idle for longer.
-            idle.pop()
+            if request_id is not None and _has_carried(protocol, request_id):
+                continue
+            del idle[index]
             if _is_reusable(protocol):
                 reused = protocol
                 break
@@ -245,11 +271,11 @@
                 del self._conns[key]
         return True
 
-    def start_exchange(self, connection: Connection) -> ConnectionUse:
+    def start_exchange(self, connection: Connection, request_id: str | None) -> ConnectionUse:
         """Registers an exchange on an acquired connection; called before its request is written."""
         protocol = connection.protocol
         assert isinstance(protocol, _ResponseHandler)
-        return protocol.start_exchange()
+        return protocol.start_exchange(request_id)
 
     def close_idle(self, key: ConnectionKey) -> None:
         """Closes all idle connections to an instance, so that the next exchange opens a new one."""
@@ -303,6 +329,10 @@
     return protocol.idle_limit_s if isinstance(protocol, _ResponseHandler) else math.inf
 
 
+def _has_carried(protocol: ResponseHandler, request_id: str) -> bool:
+    return isinstance(protocol, _ResponseHandler) and protocol.has_carried(request_id)
+
+
 def _is_reusable(protocol: ResponseHandler) -> bool:
     """Returns whether an idle connection is open and has no unread input.
 
