Close a connection after a refusal that does not say which request it refuses

In the program for nodes callers got the outcome not-run for requests that an instance had executed: the refusals of these instances have no identifier, so a copy of one was taken for the refusal of any request that used the connection next: of the same request, of another one, or after a health probe.

The connection of such a refusal is now closed. Where instances repeat the identifier, as on the platform, nothing changes: a refusal without one was not believed there before, and its connection closed.

--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -194,7 +194,7 @@
         self._loop = asyncio.get_running_loop()
         self.dialect = Dialect(settings)
         self._connector = UpstreamConnector(
-            settings.idle_limit_s, settings.instance_connections, source_ip
+            self.dialect, settings.idle_limit_s, settings.instance_connections, source_ip
         )
         self._session = ClientSession(
             connector=self._connector, cookie_jar=DummyCookieJar(), auto_decompress=False
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -17,6 +17,8 @@
 from aiohttp.connector import Connection
 from aiohttp.http import HttpProcessingError, RawResponseMessage
 
+from anviltray.upstreams._dialect import Dialect
+
 # Limit for all response heads of one exchange, with the informational ones before the final head.
 _HEADS_LIMIT_BYTES = 131072
 _INFORMATIONAL_LIMIT = 16  # Maximum number of informational responses in one exchange.
@@ -52,8 +54,9 @@
     the reader of the next response head.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, dialect: Dialect) -> None:
         super().__init__(loop=loop)
+        self._dialect = dialect
         self.idle_limit_s = math.inf  # From the idle timeout that the upstream has stated.
         self._number = next(_connection_numbers)
         self._exchange_count = 0
@@ -102,6 +105,9 @@
             timeout = _KEEP_ALIVE_TIMEOUT.search(data[0].headers.get(hdrs.KEEP_ALIVE, ""))
             if timeout is not None:
                 self.idle_limit_s = _KEEP_ALIVE_SHARE * int(timeout[1])
+            if self._dialect.is_unidentified_refusal(status, data[0].headers):
+                # A copy of it could be taken for the refusal of the next request.
+                self._should_close = True
             super().feed_data(data, size)
         else:
             self._informational_count += 1
@@ -186,12 +192,17 @@
     first checks a connection for unread input, so that a closed connection or a late response is
     detected before a byte of the next request is written.
 
-    A connection carries one identifier once. An upstream may write a response again, and if the
-    same request were under way on the connection, nothing would tell the copy from its response.
+    A connection carries one identifier once, and no request after a refusal without an identifier.
+    An upstream may write a refusal again, and nothing would tell the copy from the refusal of the
+    request that is under way then.
     """
 
     def __init__(
-        self, idle_limit_s: float, connections_per_instance: int, source_ip: str = ""
+        self,
+        dialect: Dialect,
+        idle_limit_s: float,
+        connections_per_instance: int,
+        source_ip: str = "",
     ) -> None:
         # With this class, aiohttp uses the keep-alive time only as the interval between clean-ups.
         super().__init__(
@@ -202,7 +213,9 @@
             keepalive_timeout=idle_limit_s / 4,
             local_addr=(source_ip, 0) if source_ip else None,
         )
-        self._factory = functools.partial(_ResponseHandler, loop=self._loop)  # type: ignore[assignment]
+        self._factory = functools.partial(  # type: ignore[assignment]
+            _ResponseHandler, loop=self._loop, dialect=dialect
+        )
         self._idle_limit_s = idle_limit_s
         self.connections_per_instance = connections_per_instance
         self._open_counts: dict[ConnectionKey, int] = {}  # Connections in use or being opened.
--- a/anviltray/upstreams/_dialect.py
+++ b/anviltray/upstreams/_dialect.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from anviltray.settings import UpstreamSettings
@@ -36,6 +36,7 @@
         self.health_path = settings.health_path
         self.cancel_path = settings.cancel_path
         self._refusal_statuses = frozenset(settings.refusal_statuses)
+        self._shed_header = settings.shed_header
         self._shed = settings.shed_header.lower().encode()
         self._drain = settings.drain_header.lower().encode()
         self._load = settings.load_header.lower().encode()
@@ -79,6 +80,14 @@
         refused = shed and status in self._refusal_statuses
         return Signals(refused, draining, cold, load)
 
+    def is_unidentified_refusal(self, status: int, headers: Mapping[str, str]) -> bool:
+        """Returns whether a response may refuse a request but does not say which one."""
+        return (
+            status in self._refusal_statuses
+            and self._shed_header in headers
+            and self.request_id_header not in headers
+        )
+
     def confirms_not_started(self, status: int, body: bytes) -> bool:
         """Returns whether a response to a cancellation guarantees that the request does not run.
 
