Skip a response to an earlier request that is written again

A request ended with 502 if an instance wrote the response to an earlier request of the connection once more while it was under way, although its own response followed.

Cause: the exchange took the first response head for its own, and gave up on the other identifier. The connection knows the identifiers that it has carried, each once, so a whole response with an earlier one is certain to be a copy. It is skipped if its length is stated and at most 32 KiB, up to 16 in an exchange; everything else fails the exchange as before: unknown identifiers, chunked or unframed copies, a truncated one. The log has skipped_responses, the metrics count them.

--- a/anviltray/edge/_attempt.py
+++ b/anviltray/edge/_attempt.py
@@ -41,6 +41,7 @@
         "placed",
         "response_status",
         "retry_after_s",
+        "skipped_count",
         "started_s",
         "written",
     )
@@ -67,6 +68,7 @@
         self.error = ""  # Why the response cannot be used; empty if it can.
         self.response_status = 0  # Status of the response head; 0 until it arrives.
         self.not_executed = False  # Whether the response says that the request has not run.
+        self.skipped_count = 0  # Responses to earlier requests that arrived before the response.
         self.retry_after_s = 0.0  # Time for which the instance wants no other request.
         self.written = False  # False only if it is certain that no byte was written.
         # Called when there is evidence that the other hosts of the zone have not received yet.
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -425,6 +425,8 @@
                 call.sent = True
             if recorder.retry_after_s:
                 entry["retry_after_s"] = recorder.retry_after_s
+            if recorder.skipped_count:
+                entry["skipped_responses"] = recorder.skipped_count
             if recorder.error:
                 entry["error"] = recorder.error
             if recorder.response_status:
@@ -512,6 +514,9 @@
         """Reads a response and classifies the result of the attempt."""
         statements = decode_statements(response.status, response.headers)
         recorder.response_status = response.status
+        if response.skipped_count:
+            recorder.skipped_count = response.skipped_count
+            self._metrics.count("skipped_responses")
         recorder.not_executed = response.signals.refused
         if response.status == MISDIRECTED:
             self._state.directory.mark_misdirected(recorder.placed.instance)
--- a/anviltray/edge/tests/test_operations.py
+++ b/anviltray/edge/tests/test_operations.py
@@ -64,6 +64,22 @@
     assert "zeroth" in second["error"]
 
 
+def test_response_written_again_before_that_of_the_next_request(tmp_path):
+    async def repeat(request, writer):
+        await respond(headers=f"{SEAL}Request-Id: first\r\n", echo=False)(request, writer)
+        await respond()(request, writer)
+
+    async def test(fleet):
+        for request_id in ("first", "second"):
+            response = await fleet.call("POST /order/1", b"x", request_id=request_id)
+            assert (response.status, response.headers["request-id"]) == (200, request_id)
+        assert b'{event="skipped_responses"} 1.0' in (await fleet.page("/metrics")).body
+
+    lines = logged_lines(tmp_path, test, in_turn(respond(), repeat))
+    assert request_line(lines, "second")["sends"][0]["skipped_responses"] == 1
+    assert "skipped_responses" not in request_line(lines, "first")["sends"][0]
+
+
 @pytest.mark.parametrize("instances", [1, 2])
 def test_request_refused_by_overloaded_instances(tmp_path, instances):
     async def test(fleet):
--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -99,15 +99,20 @@
     connection, so late bytes cannot be attributed to another exchange.
     """
 
-    __slots__ = ("_response", "headers", "signals", "status")
+    __slots__ = ("_response", "headers", "signals", "skipped_count", "status")
 
     def __init__(
-        self, response: ClientResponse, headers: list[tuple[bytes, bytes]], signals: Signals
+        self,
+        response: ClientResponse,
+        headers: list[tuple[bytes, bytes]],
+        signals: Signals,
+        skipped_count: int = 0,
     ) -> None:
         self._response = response
         self.status = response.status
         self.headers = headers  # Names in lower case, without hop-by-hop fields.
         self.signals = signals
+        self.skipped_count = skipped_count  # Responses to earlier requests that arrived before it.
 
     def read_rest_nowait(self) -> bytes | None:
         """Returns the remaining body if it has arrived completely, else None."""
@@ -275,7 +280,8 @@
             response = await message.send(connection)
             await response.start(connection)
             observer.on_first_byte()
-            return self._build_response(request, response)
+            skipped_count = self._connector.skipped_count(protocol)
+            return self._build_response(request, response, skipped_count)
         except BaseException as error:
             if response is not None:
                 response.close()
@@ -310,7 +316,7 @@
             raise ConnectFailed(f"{address}: {describe_error(error)}") from error
 
     def _build_response(
-        self, request: UpstreamRequest, response: ClientResponse
+        self, request: UpstreamRequest, response: ClientResponse, skipped_count: int
     ) -> UpstreamResponse:
         self._check_request_id(request.request_id, response)
         signal_headers = self.dialect.signal_headers
@@ -343,7 +349,7 @@
                 "the response has neither a Content-Length header nor chunked encoding"
             )
         signals = self.dialect.signals(status, signal_fields) if signal_fields else NO_SIGNALS
-        return UpstreamResponse(response, headers, signals)
+        return UpstreamResponse(response, headers, signals, skipped_count)
 
     def _check_request_id(self, request_id: str | None, response: ClientResponse) -> None:
         """Raises ForeignResponse if the response is not certain to belong to the request.
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -22,6 +22,9 @@
 # Limit for all response heads of one exchange, with the informational ones before the final head.
 _HEADS_LIMIT_BYTES = 131072
 _INFORMATIONAL_LIMIT = 16  # Maximum number of informational responses in one exchange.
+# Responses to earlier requests that are skipped in one exchange, and the length of their bodies.
+_SKIPPED_LIMIT = 16
+_SKIPPED_BODY_LIMIT_BYTES = 32768
 # Limit for bytes of chunk lengths and extensions. Chunks of one byte have five bytes of framing.
 _FRAMING_LIMIT_BYTES = 65536
 _FRAMING_FACTOR = 8
@@ -29,6 +32,8 @@
 _READ_LIMIT_BYTES = 65536
 _HEAD_END = b"\r\n\r\n"
 _FIRST_FINAL_STATUS = 200
+_BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+_SHORT_LENGTH = re.compile(r"[0-9]{1,5}")
 # Share of the idle timeout stated by an upstream in which its connections are reused. A request
 # that crosses the close of its connection is lost.
 _KEEP_ALIVE_SHARE = 0.8
@@ -49,6 +54,9 @@
 class _ResponseHandler(ResponseHandler):
     """Delivers a complete response whatever follows it, and bounds bytes that are no response.
 
+    Responses to earlier requests of the connection that are written once more ahead of the response
+    to the current one are skipped; their identifiers tell.
+
     aiohttp drops a complete response if bytes in the same segment cannot be parsed, accepts
     informational responses and chunk extensions without end, and reports an invalid chunk only to
     the reader of the next response head.
@@ -61,6 +69,9 @@
         self._number = next(_connection_numbers)
         self._exchange_count = 0
         self._identifier_hashes = array("q")  # Of the requests that this connection has carried.
+        self._current_hash: int | None = None  # Of the current request, if it has an identifier.
+        self.skipped_count = 0  # Responses to earlier requests that the current exchange skipped.
+        self._skipped_body_bytes = 0  # Rest of the body that is being skipped.
         self._has_final_head = False
         self._last_bytes = b""  # End of the data so far, as a head may end across two segments.
         self._head_bytes = 0
@@ -75,8 +86,9 @@
     def start_exchange(self, request_id: str | None) -> ConnectionUse:
         """Registers the exchange whose request is about to be written."""
         self._exchange_count += 1
-        if request_id is not None:
-            self._identifier_hashes.append(hash(request_id))
+        self._current_hash = None if request_id is None else hash(request_id)
+        if self._current_hash is not None:
+            self._identifier_hashes.append(self._current_hash)
             if len(self._identifier_hashes) >= _IDENTIFIER_LIMIT:
                 self._should_close = True
         return ConnectionUse(self._number, self._exchange_count)
@@ -95,12 +107,16 @@
         self._head_bytes = 0
         self._informational_count = 0
         self._received_body_bytes = 0
+        self.skipped_count = 0
         super().set_response_params(**arguments)
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
-        """Adds a response head to the queue; drops informational ones."""
+        """Adds a response head to the queue; drops informational and repeated ones."""
         status = data[0].code
-        if status >= _FIRST_FINAL_STATUS or status == HTTPStatus.SWITCHING_PROTOCOLS:
+        if self._is_skippable(data[0]):
+            self.skipped_count += 1
+            self._skipped_body_bytes = _short_body_bytes(data[0]) or 0
+        elif status >= _FIRST_FINAL_STATUS or status == HTTPStatus.SWITCHING_PROTOCOLS:
             self._has_final_head = True
             timeout = _KEEP_ALIVE_TIMEOUT.search(data[0].headers.get(hdrs.KEEP_ALIVE, ""))
             if timeout is not None:
@@ -112,6 +128,19 @@
         else:
             self._informational_count += 1
 
+    def _is_skippable(self, message: RawResponseMessage) -> bool:
+        """Returns whether a response is certain to belong to an earlier request."""
+        found = message.headers.getall(self._dialect.request_id_header, ())
+        hashes = {hash(each) for each in found}
+        return (
+            bool(hashes)
+            and self._current_hash not in hashes
+            and hashes.issubset(self._identifier_hashes)
+            and self.skipped_count < _SKIPPED_LIMIT
+            and not self._skip_payload
+            and _short_body_bytes(message) is not None
+        )
+
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; an exchange ends with the last byte of its response."""
         if not self._has_final_head:
@@ -134,6 +163,11 @@
         The parser gets each head separately, because it loses the heads of a call that fails.
         """
         while data and not self._has_final_head:
+            if self._skipped_body_bytes:
+                body, data = data[: self._skipped_body_bytes], data[self._skipped_body_bytes :]
+                self._skipped_body_bytes -= len(body)
+                super().data_received(body)
+                continue
             overlap = len(self._last_bytes)
             start = (self._last_bytes + data).find(_HEAD_END)
             end = len(data) if start < 0 else start + len(_HEAD_END) - overlap
@@ -290,6 +324,11 @@
         assert isinstance(protocol, _ResponseHandler)
         return protocol.start_exchange(request_id)
 
+    @staticmethod
+    def skipped_count(protocol: ResponseHandler) -> int:
+        """Returns how many responses to earlier requests the latest exchange has skipped."""
+        return protocol.skipped_count if isinstance(protocol, _ResponseHandler) else 0
+
     def close_idle(self, key: ConnectionKey) -> None:
         """Closes all idle connections to an instance, so that the next exchange opens a new one."""
         for protocol, _ in self._conns.pop(key, ()):
@@ -342,6 +381,17 @@
     return protocol.idle_limit_s if isinstance(protocol, _ResponseHandler) else math.inf
 
 
+def _short_body_bytes(message: RawResponseMessage) -> int | None:
+    """Returns the stated length of a body, or None if it is long or not stated by a length."""
+    stated = _SHORT_LENGTH.fullmatch(message.headers.get(hdrs.CONTENT_LENGTH, ""))
+    if stated is None or message.chunked or message.code < _FIRST_FINAL_STATUS:
+        return None
+    if message.code in _BODILESS_STATUSES:
+        return None
+    length_bytes = int(stated[0])
+    return length_bytes if length_bytes <= _SKIPPED_BODY_LIMIT_BYTES else None
+
+
 def _has_carried(protocol: ResponseHandler, request_id: str) -> bool:
     return isinstance(protocol, _ResponseHandler) and protocol.has_carried(request_id)
 
--- a/anviltray/upstreams/tests/test_client.py
+++ b/anviltray/upstreams/tests/test_client.py
@@ -473,6 +473,7 @@
 
 R1 = POST._replace(request_id="r1", headers=[("X-Request-Id", "r1")])
 R2 = POST._replace(request_id="r2", headers=[("X-Request-Id", "r2")])
+R3 = POST._replace(request_id="r3", headers=[("X-Request-Id", "r3")])
 REFUSED = "503 Full\r\nX-Shed: 1"
 REFUSED_WITH_ID = f"{REFUSED}\r\nX-Request-Id: {{id}}"
 OK_WITH_ID = "200 OK\r\nX-Request-Id: {id}"
@@ -548,3 +549,62 @@
         await writer.drain()
 
     run(test, handler)
+
+
+def response_to(request_id, body=b"fine", status="200 OK", framing=None):
+    """Returns the bytes of a response with an identifier."""
+    framing = f"Content-Length: {len(body)}" if framing is None else framing
+    return f"HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\n{framing}\r\n\r\n".encode() + body
+
+
+AGAIN = response_to("r1", b"", REFUSED)
+CHUNKS = b"4\r\nlate\r\n0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("late", "skipped"),
+    [
+        pytest.param(AGAIN, 1, id="refusal"),
+        pytest.param(AGAIN * 3, 3, id="three-refusals"),
+        pytest.param(response_to("r1", b"late"), 1, id="body"),
+        pytest.param(response_to("r1", response_to("r2", b"late")), 1, id="response-in-body"),
+        pytest.param(response_to("r1", b"x" * 32768), 1, id="long-body"),
+        pytest.param(AGAIN + b"HTTP/1.1 103 Early Hints\r\n\r\n", 1, id="informational"),
+        # These are not certain to be a whole response to an earlier request.
+        pytest.param(response_to("r0", b""), None, id="unknown-request"),
+        pytest.param(response_to("r1\r\nX-Request-Id: r0", b""), None, id="two-requests"),
+        pytest.param(response_to("r1\r\nX-Request-Id: r2", b""), None, id="also-the-current"),
+        pytest.param(response_to("r1", b"x" * 32769), None, id="too-long"),
+        pytest.param(response_to("r1", CHUNKS, framing="Transfer-Encoding: chunked"), None, id="c"),
+        pytest.param(response_to("r1", b"", framing="X-A: 1"), None, id="unframed"),
+        pytest.param(response_to("r1", b"", "204 X", "Content-Length: 4"), None, id="bodiless"),
+        pytest.param(AGAIN * 17, None, id="too-many"),
+        pytest.param(response_to("r1", b"", framing="Content-Length: 99"), None, id="truncated"),
+    ],
+)
+@pytest.mark.parametrize("segment_bytes", [1 << 20, 7])
+def test_response_is_found_after_one_that_is_written_again(late, skipped, segment_bytes):
+    async def handler(request, writer):
+        request_id = request.headers["x-request-id"]
+        data = response_to(request_id)
+        if request_id == "r2":
+            data = late + data
+        for start in range(0, len(data), segment_bytes):
+            writer.write(data[start : start + segment_bytes])
+            if start < 200:
+                await asyncio.sleep(0.001)
+        return request_id != "r2" or skipped is not None
+
+    async def test(client, upstream):
+        await exchange(client, upstream.address, R1)
+        try:
+            response, body, _ = await exchange(client, upstream.address, R2)
+        except (InvalidResponse, ExchangeBroken):
+            assert skipped is None
+        else:
+            assert (response.status, body, response.skipped_count) == (200, b"fine", skipped)
+            await exchange(client, upstream.address, R3)
+            assert upstream.connections == 1
+        assert len(upstream.requests) == (2 if skipped is None else 3)
+
+    run(test, handler)
