--- a/anviltray/settings/_generated.py
+++ b/anviltray/settings/_generated.py
@@ -89,7 +89,9 @@
     probe_interval_s: float  # Interval between two probes of an upstream by one node.
     probers_per_upstream: int  # Nodes that probe one upstream.
     deadline_header: str  # Header with the remaining milliseconds.
-    request_id_header: str  # Header with the request identifier.
+    request_id_header: (
+        str  # Header with the request identifier; a connection closes after a refusal without it.
+    )
     shed_header: str  # Header of a 503 that proves that the request was not started.
     refusal_statuses: tuple[
         int, ...
