--- a/anviltray/edge/_attempt.py
+++ b/anviltray/edge/_attempt.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import logbook
 
@@ -18,6 +18,9 @@
 
 _log = logbook.Logger("anviltray.placement")
 
+_LOGGED_ERROR_LENGTH = 200  # Errors may quote what the instance has sent.
+_MAX_LOGGED_AGE_S = 999.0  # Stands for "no evidence yet".
+
 
 class AttemptRecorder:
     """Exchange observer that reports each phase of an attempt once to the health tracker."""
@@ -133,6 +136,35 @@
         self.on_evidence()
         self._await_late_stage()
 
+    def placement_fields(self) -> dict[str, Any]:
+        """Returns the inputs of the placement for the log."""
+        placed = self.placed
+        return {
+            "instance": placed.instance.id,
+            "load": round(placed.load, 2),
+            "unhealthy_probability": round(placed.unhealthy_probability, 3),
+            "evidence_age_s": round(min(placed.evidence_age_s, _MAX_LOGGED_AGE_S), 2),
+            "explores": placed.explores,
+        }
+
+    def exchange_fields(self) -> dict[str, Any]:
+        """Returns what has happened so far for the log; times are in ms, as in the lines."""
+        fields: dict[str, Any] = {}
+        if self.retry_after_s:
+            fields["retry_after_s"] = self.retry_after_s
+        if self.skipped_count:
+            fields["skipped_responses"] = self.skipped_count
+        if self.error:
+            fields["error"] = self.error[:_LOGGED_ERROR_LENGTH]
+        if self.response_status:
+            fields["response_status"] = self.response_status
+            fields["not_executed"] = self.not_executed
+        fields["new_connection"] = self.fresh_connection
+        if self.connection_use is not None:
+            fields |= self.connection_use._asdict()
+        fields["ms"] = round((self._loop.time() - self.started_s) * 1000)
+        return fields
+
     def finish(self, outcome: ExchangeOutcome) -> None:
         """Reports the outcome; only the first call has an effect."""
         if self._ended:
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -59,7 +59,6 @@
 # requests at once.
 _LOAD_GRACE_S = 3.0
 _DEFAULT_RETRY_AFTER_S = 0.4  # Retry-After if placement gives no estimate.
-_LOGGED_ERROR_LENGTH = 200  # Errors may quote what the instance has sent.
 _MIN_RETRY_AFTER_S = 0.1  # Retry-After if another host can serve the request at once.
 
 _NOT_READY = Problem(
@@ -392,22 +391,14 @@
         stages = state.response_times.late_stages(route.name, route.target_latency_s, placed.load)
         recorder = AttemptRecorder(state.health_tracker, call.service, placed, stages)
         recorder.on_evidence = state.urgent.set
-        entry = {
-            "instance": placed.instance.id,
-            "load": round(placed.load, 2),
-            "unhealthy_probability": round(placed.unhealthy_probability, 3),
-            "evidence_age_s": round(min(placed.evidence_age_s, 999.0), 2),
-            "explores": placed.explores,
-        }
+        entry = recorder.placement_fields()
         call.history.append(entry)
         try:
             result = await self._exchange(call, recorder)
         except asyncio.CancelledError:
-            timed_out = call.timed_out
-            if timed_out:
+            if timed_out := call.timed_out:
                 # The connection may be dead, and so may idle ones to the same address.
                 state.upstreams.close_idle(placed.instance.address)
-            if timed_out:
                 entry["result"] = "timed-out"
             elif call.exchange.disconnected:
                 entry["result"] = "caller-left"
@@ -423,19 +414,7 @@
             if recorder.written:
                 self._metrics.record_attempt(call.service, repeat=call.sent)
                 call.sent = True
-            if recorder.retry_after_s:
-                entry["retry_after_s"] = recorder.retry_after_s
-            if recorder.skipped_count:
-                entry["skipped_responses"] = recorder.skipped_count
-            if recorder.error:
-                entry["error"] = recorder.error
-            if recorder.response_status:
-                entry["response_status"] = recorder.response_status
-                entry["not_executed"] = recorder.not_executed
-            entry["new_connection"] = recorder.fresh_connection
-            if recorder.connection_use is not None:
-                entry |= recorder.connection_use._asdict()
-            entry["ms"] = round((self._loop.time() - recorder.started_s) * 1000)
+            entry |= recorder.exchange_fields()
         entry["result"] = (
             result.status
             if isinstance(result, CompleteResponse)
@@ -480,7 +459,7 @@
                 raise call.body.error from error
             recorder.finish(ExchangeOutcome.BROKEN)
             client.close_idle(recorder.placed.instance.address)
-            recorder.error = str(error)[:_LOGGED_ERROR_LENGTH]
+            recorder.error = str(error)
             if isinstance(error, ForeignResponse):
                 self._metrics.count("foreign_responses")
             return OutcomeUnknown("invalid" if isinstance(error, InvalidResponse) else "broken")
