Reject a response head that holds the status line of another response

Callers got 503 for a request that an instance had executed, or the status of another response: an instance wrote the beginning of an earlier response, which was cut inside a field or its reason phrase, and then the response to the request that was under way. The parser joins both into one head, with the status and fields of the part, Not-Executed among them, and with the identifier and length of the own response.

Such a head has a second status line in its reason phrase or in the value of a field. It fails the exchange, so the outcome is unknown; the connection closes. All cuts in the first two lines of a 503, 204 and 404 are tested: three cases fail on the code before, with 503, 204 and 404 instead of 502, and pass now.

--- a/anviltray/edge/tests/test_repeated_refusals.py
+++ b/anviltray/edge/tests/test_repeated_refusals.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from anviltray.edge.tests.support import Fleet, refuse, registration, respond
+from anviltray.edge.tests.support import SEAL, Fleet, refuse, registration, respond
 
 ORDER = "POST /order/1"
 
@@ -71,3 +71,33 @@
         assert fleet.received() == 2
 
     run(tmp_path, test, instance)
+
+
+REFUSAL = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: c0\r\nContent-Length: 0\r\n\r\n"
+NO_CONTENT = f"HTTP/1.1 204 No Content\r\n{SEAL}Request-Id: c0\r\n\r\n"
+NOT_FOUND = f"HTTP/1.1 404 Not Found\r\n{SEAL}Request-Id: c0\r\nContent-Length: 0\r\n\r\n"
+
+
+def cuts(response):
+    """Returns the beginnings of a response that end within its first two lines."""
+    return [response[:end] for end in range(1, response.index("\r\n", response.index("\r\n") + 2))]
+
+
+@pytest.mark.parametrize("response", [REFUSAL, NO_CONTENT, NOT_FOUND], ids=["503", "204", "404"])
+def test_response_that_begins_with_a_part_of_another_one_is_not_believed(tmp_path, response):
+    """The status and fields of the part join the identifier and length of the own response."""
+    beginnings = cuts(response)
+
+    async def write(request, writer):
+        writer.write(beginnings[int(request.headers["request-id"][1:])].encode())
+        await writer.drain()
+        await asyncio.sleep(0.002)
+        await respond()(request, writer)
+
+    async def test(fleet):
+        for number, beginning in enumerate(beginnings):
+            response = await fleet.call(ORDER, b"x", request_id=f"c{number}")
+            assert response.status == 502, beginning
+        assert fleet.received() == len(beginnings)
+
+    run(tmp_path, test, write)
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -41,6 +41,7 @@
 # 8 bytes, and a new connection for so many requests costs an instance little.
 _IDENTIFIER_LIMIT = 256
 _connection_numbers = itertools.count(1)
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
 _KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[,;\s])timeout\s*=\s*\"?(\d{1,6})", re.IGNORECASE)
 
 
@@ -113,7 +114,9 @@
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """Adds a response head to the queue; drops informational and repeated ones."""
         status = data[0].code
-        if self._is_skippable(data[0]):
+        if _holds_two_responses(data[0]):
+            self._fail("the response head holds the status line of another response")
+        elif self._is_skippable(data[0]):
             self.skipped_count += 1
             self._skipped_body_bytes = _short_body_bytes(data[0]) or 0
         elif status >= _FIRST_FINAL_STATUS or status == HTTPStatus.SWITCHING_PROTOCOLS:
@@ -381,6 +384,17 @@
     return protocol.idle_limit_s if isinstance(protocol, _ResponseHandler) else math.inf
 
 
+def _holds_two_responses(message: RawResponseMessage) -> bool:
+    """Returns whether a head has the status line of another response behind its own.
+
+    It begins with a part of a response that was not written to its end, so its status and its
+    fields need not belong to one response.
+    """
+    return _STATUS_LINE.search(message.reason.encode("latin-1", "replace")) is not None or any(
+        _STATUS_LINE.search(value) for _, value in message.raw_headers
+    )
+
+
 def _short_body_bytes(message: RawResponseMessage) -> int | None:
     """Returns the stated length of a body, or None if it is long or not stated by a length."""
     stated = _SHORT_LENGTH.fullmatch(message.headers.get(hdrs.CONTENT_LENGTH, ""))
