Close the connection that a returning request must not use again

If all idle connections to the instance have carried the identifier, the most recently used one is closed and a new one takes its place, so the pool does not grow. The test fails on the code before with 10 open connections and passes now with 1.

--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -282,24 +282,30 @@
     ) -> Connection | None:
         """Returns an idle connection within the idle limit for a request, or None if there is none.
 
-        The connection has not carried a request with the identifier `request_id`.
+        The connection has not carried a request with the identifier `request_id`. If all have, the
+        most recently used one is closed in favour of a new one.
         """
         idle = self._conns.get(key)
         if idle is None:
             return None
         now = monotonic()
         reused: ResponseHandler | None = None
+        carried: tuple[ResponseHandler, float] | None = None  # The most recently used one.
         for index in reversed(range(len(idle))):
             protocol, idle_since = idle[index]
             if now - idle_since > min(idle_limit_s, _stated_limit_s(protocol)):
                 break  # The remaining ones have been idle for longer.
             if request_id is not None and _has_carried(protocol, request_id):
+                carried = carried or idle[index]
                 continue
             del idle[index]
             if _is_reusable(protocol):
                 reused = protocol
                 break
             protocol.close()
+        if reused is None and carried is not None:
+            idle.remove(carried)
+            carried[0].close()
         if not idle:
             del self._conns[key]
         if reused is None:
--- a/anviltray/upstreams/tests/test_client.py
+++ b/anviltray/upstreams/tests/test_client.py
@@ -585,6 +585,25 @@
     run(test, handler)
 
 
+def test_request_that_comes_again_replaces_the_connection_that_carried_it():
+    """Guards against an idle connection for each time that a caller uses the same identifier."""
+    open_connections = []
+
+    async def handler(request, writer):
+        writer.write(response_to("r1"))
+        await writer.drain()
+
+    async def test(client, upstream):
+        for _ in range(10):
+            await exchange(client, upstream.address, R1)
+            await asyncio.sleep(0.01)
+            open_connections.append(upstream.open)
+        assert client.open_connections(upstream.address) == 1
+        assert (max(open_connections), upstream.connections) == (1, 10)
+
+    run(test, handler)
+
+
 def test_connection_does_not_forget_which_requests_it_has_carried():
     """Guards against a bound on what is kept for a connection that makes it forget a refusal."""
     count = 600
