Reuse a connection to the platform only without bytes that belong to no call

A connection closes as soon as bytes arrive that belong to no call, and is reused only without unread input. What arrives after the next call was written still cannot be told apart, as responses of the store do not name their call.

Tests of platform, upstreams, zone, state and edge pass.

--- a/anviltray/platform/_transport.py
+++ b/anviltray/platform/_transport.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from anviltray.platform._connections import CallConnector
 from anviltray.platform._interface import PlatformError, PlatformUnavailable
 from anviltray.telemetry import describe_error
 
@@ -46,7 +47,7 @@
         limit_s = self._timeout_s if timeout_s is None else timeout_s
         timeout = aiohttp.ClientTimeout(total=limit_s, sock_connect=self._timeout_s)
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(connector=CallConnector())
         url = f"{self._url}{path}"
         try:
             async with self._session.request(method, url, timeout=timeout, **arguments) as response:
--- a/anviltray/upstreams/__init__.py
+++ b/anviltray/upstreams/__init__.py
@@ -18,6 +18,7 @@
     UpstreamError,
 )
 from anviltray.upstreams._fields import HOP_BY_HOP, connection_options
+from anviltray.upstreams._reuse import is_reusable
 
 __all__ = [
     "HOP_BY_HOP",
@@ -37,4 +38,5 @@
     "UpstreamRequest",
     "UpstreamResponse",
     "connection_options",
+    "is_reusable",
 ]
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -5,7 +5,6 @@
 import itertools
 import math
 import re
-import select
 from array import array
 from collections.abc import Callable
 from http import HTTPStatus
@@ -19,6 +18,7 @@
 from aiohttp.http import HttpProcessingError, RawResponseMessage
 
 from anviltray.upstreams._dialect import Dialect
+from anviltray.upstreams._reuse import is_reusable
 
 # Limit for all response heads of one exchange, with the informational ones before the final head.
 _HEADS_LIMIT_BYTES = 131072
@@ -299,7 +299,7 @@
                 carried = carried or idle[index]
                 continue
             del idle[index]
-            if _is_reusable(protocol):
+            if is_reusable(protocol):
                 reused = protocol
                 break
             protocol.close()
@@ -438,17 +438,3 @@
 
 def _has_carried(protocol: ResponseHandler, request_id: str) -> bool:
     return isinstance(protocol, _ResponseHandler) and protocol.has_carried(request_id)
-
-
-def _is_reusable(protocol: ResponseHandler) -> bool:
-    """Returns whether an idle connection is open and has no unread input.
-
-    Input on an idle connection is an end of file or a late response, which would be mistaken for
-    the response to the next request.
-    """
-    transport = protocol.transport
-    if transport is None or transport.is_closing() or protocol.should_close:
-        return False
-    poller = select.poll()
-    poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-    return not poller.poll(0)
