Check requests that come back with their identifier, and needless failures

Cause: the checks of the soak took an identifier for one request, so callers could not be played that come back with the identifier that they had. A 502 for a request that no instance has executed was not counted. Change: arrivals belong to the last attempt at their host that was sent before them. Budget, instance limit, deadline, promises, lost requests and leaving instances are checked for each attempt; executions are still counted over all attempts of an identifier.

--- a/standins/soak/_rules.py
+++ b/standins/soak/_rules.py
@@ -3,18 +3,22 @@
 from bisect import bisect_left
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Sequence
+from http import HTTPStatus
 from typing import NamedTuple
 
 
 class SentRequest(NamedTuple):
-    """A request of a caller and its result; times are in seconds since the start of the run."""
+    """An attempt of a caller and its result; times are in seconds since the start of the run.
+
+    A caller that comes back after a refusal may send the same identifier again.
+    """
 
     request_id: str
     service: str
     host: str  # IP address of the edge host.
     sent_s: float
     ended_s: float  # Time of the response head.
-    status: int  # 0 if there was no response.
+    status: int  # 0 if there was no response, `UNFINISHED` if the run ended first.
     leaving: str  # Instance whose response said that it is leaving; empty if none.
     deadline_s: float  # Time that the caller allowed.
     idempotent: bool  # May run more than once.
@@ -30,6 +34,7 @@
     host: str  # IP address of the edge host that sent it.
     deadline_s: float | None  # Time that the host allowed.
     executed: bool  # False if the instance rejected it.
+    misdirected: bool = False  # Rejected because it was meant for another instance.
 
 
 class Rejection(NamedTuple):
@@ -49,6 +54,15 @@
     until_s: float
 
 
+class InstanceFault(NamedTuple):
+    """Time in which an instance reset connections, refused them or was cut off."""
+
+    instance: str
+    service: str
+    from_s: float
+    until_s: float
+
+
 class Observations:
     """Everything that callers and instances have seen in one run."""
 
@@ -57,6 +71,8 @@
         self.arrivals: list[Arrival] = []
         self.rejections: list[Rejection] = []
         self.disturbances: list[Disturbance] = []
+        # Not among the disturbances, which excuse hosts also for other rules.
+        self.instance_faults: list[InstanceFault] = []
 
     def is_disturbed(self, subject: str, from_s: float, until_s: float) -> bool:
         """Returns whether a host or instance was disturbed between `from_s` and `until_s`."""
@@ -85,6 +101,8 @@
     detail: str
 
 
+UNFINISHED = -1  # Status of a request that had no result when the run ended.
+
 # Statuses with which a host promises that the request has not run and never will.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -99,6 +117,9 @@
 _EXCESS_INSTANCES = 3
 _EXCESS_LOST = 3
 _EXCESS_DEADLINES = 20
+# Requests that may fail without need, as many as the platform allows for requests that are denied.
+_EXCESS_FAILURES = 5
+_EXCESS_FAILURE_SHARE = 1 / 500
 
 
 def rule(name: str) -> Callable[[Check], Check]:
@@ -119,13 +140,44 @@
     return tuple(found)
 
 
+class _Attempts:
+    """Finds the attempt of a caller to which an arrival belongs.
+
+    A caller sends an identifier again only after a response to the attempt before, so an arrival
+    belongs to the last attempt at its host that was sent before it.
+    """
+
+    def __init__(self, sent: Sequence[SentRequest]) -> None:
+        self._by_id: dict[str, list[SentRequest]] = defaultdict(list)
+        for request in sorted(sent, key=lambda each: each.sent_s):
+            self._by_id[request.request_id].append(request)
+
+    def find(self, arrival: Arrival) -> SentRequest | None:
+        """Returns the attempt, or None if no caller has sent the identifier."""
+        attempts = self._by_id.get(arrival.request_id)
+        if not attempts:
+            return None
+        earlier = [each for each in attempts if each.sent_s <= arrival.at_s]
+        at_host = [each for each in earlier if each.host == arrival.host]
+        return (at_host or earlier or attempts[:1])[-1]
+
+    def executed(self, arrivals: Sequence[Arrival]) -> Iterator[tuple[SentRequest, Arrival]]:
+        """Yields each attempt that an instance executed, with its last execution."""
+        found: dict[SentRequest, Arrival] = {}
+        for arrival in sorted(arrivals):
+            request = self.find(arrival) if arrival.executed else None
+            if request is not None:
+                found[request] = arrival
+        yield from found.items()
+
+
 @rule("retry-budget")
 def _check_retry_budget(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
     """Repeats of a service in any window, over all hosts."""
     requests: dict[str, list[float]] = defaultdict(list)
     for sent in seen.sent:
         requests[sent.service].append(sent.sent_s)
-    for service, repeats in _repeats(seen.arrivals).items():
+    for service, repeats in _repeats(seen).items():
         times = sorted(requests[service])
         start_s = 0.0
         while repeats and start_s <= repeats[-1]:
@@ -142,14 +194,16 @@
             start_s += _WINDOW_STEP_S
 
 
-def _repeats(arrivals: Sequence[Arrival]) -> dict[str, list[float]]:
-    """Returns the times of all arrivals but the first of each request, by service."""
-    first: set[str] = set()
+def _repeats(seen: Observations) -> dict[str, list[float]]:
+    """Returns the times of all arrivals but the first of each attempt of a caller, by service."""
+    attempts = _Attempts(seen.sent)
+    first: set[tuple[str, SentRequest | None]] = set()
     repeats: dict[str, list[float]] = defaultdict(list)
-    for arrival in sorted(arrivals):
-        if arrival.request_id in first:
+    for arrival in sorted(seen.arrivals):
+        key = arrival.request_id, attempts.find(arrival)
+        if key in first:
             repeats[arrival.service].append(arrival.at_s)
-        first.add(arrival.request_id)
+        first.add(key)
     return repeats
 
 
@@ -159,12 +213,13 @@
 
 @rule("instance-limit")
 def _check_instance_limit(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
-    """Instances that run one request."""
-    ran: dict[str, set[str]] = defaultdict(set)
+    """Instances that run one attempt of a caller."""
+    attempts = _Attempts(seen.sent)
+    ran: dict[tuple[str, SentRequest | None], set[str]] = defaultdict(set)
     for arrival in seen.arrivals:
         if arrival.executed:
-            ran[arrival.request_id].add(arrival.instance)
-    excess = [key for key, instances in ran.items() if len(instances) > bounds.instance_limit]
+            ran[arrival.request_id, attempts.find(arrival)].add(arrival.instance)
+    excess = [key for (key, _), names in ran.items() if len(names) > bounds.instance_limit]
     if len(excess) > _EXCESS_INSTANCES:
         yield Violation("instance-limit", 0.0, f"{len(excess)} requests, among them {excess[0]}")
 
@@ -172,10 +227,10 @@
 @rule("deadline")
 def _check_deadline(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
     """Time that stable hosts hand on, which must not exceed what the caller has left."""
-    sent = {each.request_id: each for each in seen.sent}
+    attempts = _Attempts(seen.sent)
     excess = []
     for arrival in seen.arrivals:
-        request = sent.get(arrival.request_id)
+        request = attempts.find(arrival)
         from_s = arrival.at_s - bounds.stable_s
         if request is not None and not (
             seen.is_disturbed(arrival.host, from_s, arrival.at_s)
@@ -191,11 +246,9 @@
 
 @rule("not-executed")
 def _check_not_executed(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
-    """Requests that were answered as not executed, and that an instance has executed."""
-    executed = {each.request_id: each for each in seen.arrivals if each.executed}
-    for request in seen.sent:
-        arrival = executed.get(request.request_id)
-        if arrival is None or request.idempotent or request.status not in NOT_EXECUTED_STATUSES:
+    """Attempts that were answered as not executed, and that an instance has executed."""
+    for request, arrival in _Attempts(seen.sent).executed(seen.arrivals):
+        if request.idempotent or request.status not in NOT_EXECUTED_STATUSES:
             continue
         detail = (
             f"{request.request_id} got {request.status} from {request.host} "
@@ -206,7 +259,10 @@
 
 @rule("executed-once")
 def _check_executed_once(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
-    """Requests that are not idempotent and ran more than once."""
+    """Requests that are not idempotent and ran more than once, in all attempts of a caller.
+
+    Callers come back only after a response that promises that the attempt before has not run.
+    """
     unrepeatable = {each.request_id for each in seen.sent if not each.idempotent}
     ran: set[str] = set()
     for arrival in sorted(seen.arrivals):
@@ -221,12 +277,10 @@
 @rule("lost")
 def _check_lost(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
     """Requests that a stable host sent to an instance and then ended without a response."""
-    executed = {each.request_id for each in seen.arrivals if each.executed}
     lost = [
         each
-        for each in seen.sent
+        for each, _ in _Attempts(seen.sent).executed(seen.arrivals)
         if each.status == 0
-        and each.request_id in executed
         and each.ended_s < each.sent_s + each.deadline_s
         and not seen.is_disturbed(each.host, each.sent_s - bounds.stable_s, each.ended_s)
     ]
@@ -254,28 +308,74 @@
 
 
 def _arrivals_by_host(seen: Observations) -> dict[tuple[str, str], list[float]]:
+    """Returns the times of arrivals; a host cannot know the new id at an address that it uses."""
     times: dict[tuple[str, str], list[float]] = defaultdict(list)
     for arrival in sorted(seen.arrivals):
-        times[arrival.instance, arrival.host].append(arrival.at_s)
+        if not arrival.misdirected:
+            times[arrival.instance, arrival.host].append(arrival.at_s)
     return times
 
 
 @rule("leaving")
 def _check_leaving(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
     """Requests to instances whose response, passed on by the host, said that they are leaving."""
-    sent = {each.request_id: each for each in seen.sent}
+    attempts = _Attempts(seen.sent)
     told_s: dict[tuple[str, str], float] = {}  # First response by instance and host.
     for request in sorted(seen.sent, key=lambda each: each.ended_s):
         if request.leaving:
             told_s.setdefault((request.leaving, request.host), request.ended_s)
     for arrival in seen.arrivals:
-        late = sent.get(arrival.request_id)
+        late = attempts.find(arrival)
         told = told_s.get((arrival.instance, arrival.host))
         if late is None or told is None or late.sent_s <= told + bounds.drain_s:
             continue
+        if arrival.misdirected:
+            continue
         if not seen.is_disturbed(arrival.host, told, arrival.at_s):
             detail = (
                 f"{arrival.instance} got {arrival.request_id} from {arrival.host}, "
                 f"sent {late.sent_s - told:.2f} s after its response"
             )
             yield Violation("leaving", arrival.at_s, detail)
+
+
+@rule("needless-failure")
+def _check_needless_failure(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
+    """Requests that a stable host answered with 502, although no instance has executed them."""
+    attempts = _Attempts(seen.sent)
+    arrived: dict[SentRequest | None, list[Arrival]] = defaultdict(list)
+    for arrival in seen.arrivals:
+        arrived[attempts.find(arrival)].append(arrival)
+    failed = [
+        each
+        for each in seen.sent
+        if each.status == HTTPStatus.BAD_GATEWAY
+        and not each.idempotent
+        and not any(arrival.executed for arrival in arrived[each])
+        and not seen.is_disturbed(each.host, each.sent_s - bounds.stable_s, each.ended_s)
+        and not _has_instance_fault(seen, each, arrived[each])
+    ]
+    allowed = _EXCESS_FAILURES + _EXCESS_FAILURE_SHARE * len(seen.sent)
+    if len(failed) > allowed:
+        received = sum(bool(arrived[each]) for each in failed)
+        detail = (
+            f"{len(failed)} requests, {allowed:.0f} allowed, of which {received} reached an "
+            f"instance, among them {failed[0].request_id}"
+        )
+        yield Violation("needless-failure", failed[0].ended_s, detail)
+
+
+def _has_instance_fault(
+    seen: Observations, request: SentRequest, arrivals: Sequence[Arrival]
+) -> bool:
+    """Returns whether a fault of an instance may have failed a request that was not executed.
+
+    If no instance has received the request, it may have been on its way to any of its service.
+    """
+    names = {each.instance for each in arrivals}
+    return any(
+        fault.from_s <= request.ended_s
+        and fault.until_s >= request.sent_s
+        and (fault.instance in names if names else fault.service == request.service)
+        for fault in seen.instance_faults
+    )
--- a/standins/tests/test_soak_rules.py
+++ b/standins/tests/test_soak_rules.py
@@ -3,7 +3,14 @@
 import pytest
 
 from standins.soak import Bounds, Observations, check
-from standins.soak._rules import Arrival, Disturbance, Rejection, SentRequest
+from standins.soak._rules import (
+    UNFINISHED,
+    Arrival,
+    Disturbance,
+    InstanceFault,
+    Rejection,
+    SentRequest,
+)
 
 HOST = "127.1.1.1"
 
@@ -61,6 +68,132 @@
     return requests, arrivals, [], list(disturbances)
 
 
+OTHER_HOST = "127.1.1.2"
+
+
+def come_back(second, arrivals, status=503, second_host=HOST, idempotent=False):
+    """Returns a request sent at 1 s, answered with `status`, and at 2 s with the same identifier.
+
+    The second attempt, `second`, is the status, or the status and the instance that is leaving.
+    Arrivals are time, host, instance and whether it was executed.
+    """
+    second_status, leaving = second if isinstance(second, tuple) else (second, "")
+    requests = [
+        sent(1, 1.0, "", status, idempotent),
+        sent(1, 2.0, leaving, second_status, idempotent)._replace(host=second_host),
+    ]
+    found = [
+        arrival(1, at_s, instance, executed=executed)._replace(host=host)
+        for at_s, host, instance, executed in arrivals
+    ]
+    return requests, found, [], []
+
+
+def many(count, requests, arrivals, *disturbances):
+    """Returns so many times the requests and arrivals, each time with another identifier."""
+    return (
+        [each._replace(request_id=f"c{number}") for number in range(count) for each in requests],
+        [each._replace(request_id=f"c{number}") for number in range(count) for each in arrivals],
+        [],
+        list(disturbances),
+    )
+
+
+def come_back_often(count, second_host=HOST, repeats=0):
+    """Returns requests that come back; of the second attempts some reach another instance too."""
+    requests, arrivals, *others = many(
+        count,
+        [sent(1, 1.0, "", 503, True), sent(1, 2.0, "", 503, True)._replace(host=second_host)],
+        [
+            arrival(1, 1.05, executed=False),
+            arrival(1, 2.05, "i-2", executed=False)._replace(host=second_host),
+        ],
+    )
+    arrivals += [
+        arrival(number, 2.1, "i-3", executed=False)._replace(host=second_host)
+        for number in range(repeats)
+    ]
+    return requests, arrivals, *others
+
+
+def come_back_to_instances(count, first, second):
+    """Returns requests that come back and run on `first`, then on `second` other instances."""
+    return many(
+        count,
+        [sent(1, 1.0, "", 503, True), sent(1, 2.0, "", 200, True)],
+        [arrival(1, 1.05, f"i-1-{number}") for number in range(first)]
+        + [arrival(1, 2.05, f"i-2-{number}") for number in range(second)],
+    )
+
+
+def come_back_with_deadline(first_s, second_s):
+    """Returns requests that come back after 1 of 2 s, with the time handed on by the host."""
+    return many(
+        21,
+        [sent(1, 1.0, "", 503), sent(1, 2.0)._replace(deadline_s=1.0)],
+        [
+            arrival(1, 1.0, deadline_s=first_s, executed=False),
+            arrival(1, 2.0, deadline_s=second_s),
+        ],
+    )
+
+
+def come_back_later_with_new_deadline(handed_on_s):
+    """Returns requests that come back with more time than the attempt before has left."""
+    return many(
+        21,
+        [sent(1, 1.0, "", 503)._replace(deadline_s=1.0), sent(1, 2.0)],
+        [
+            arrival(1, 1.0, deadline_s=handed_on_s, executed=False),
+            arrival(1, 2.0, deadline_s=2.0),
+        ],
+    )
+
+
+def come_back_and_lose(count, executed_at_s, *disturbances):
+    """Returns requests that come back and then get no response, executed at some time."""
+    return many(
+        count,
+        [sent(1, 1.0, "", 503, True), sent(1, 2.0, "", 0, True)],
+        [arrival(1, executed_at_s)],
+        *disturbances,
+    )
+
+
+def come_back_to_leaving_instance(*arrivals, host=HOST, misdirected=False):
+    """Returns a request at 0.5 and 3.1 s, to an instance that said at 1 s that it is leaving."""
+    requests = [
+        sent(1, 0.9, "i-1"),
+        sent(2, 0.5, status=503, idempotent=True)._replace(ended_s=3.0),
+        sent(2, 3.1, idempotent=True)._replace(host=host),
+    ]
+    found = [
+        arrival(2, at_s)._replace(host=from_host, misdirected=misdirected)
+        for at_s, from_host in arrivals
+    ]
+    return requests, [arrival(1, 0.9), *found], [], []
+
+
+def failed(count, total=0, arrivals=(), status=502, idempotent=False, disturbances=(), faults=()):
+    """Returns requests that got `status` at 5.1 s and had the arrivals, with others that did not.
+
+    Arrivals are the instance and whether it executed the request.
+    """
+    requests = [sent(number, 5.0, "", status, idempotent) for number in range(count)]
+    requests += [sent(number, 5.0) for number in range(count, total)]
+    found = [
+        arrival(number, 5.05, instance, executed=executed)
+        for number in range(count)
+        for instance, executed in arrivals
+    ]
+    found += [arrival(number, 5.05) for number in range(count, total)]
+    return requests, found, [], list(disturbances), list(faults)
+
+
+def fault(from_s, until_s, instance="i-1", service="desk"):
+    return InstanceFault(instance, service, from_s, until_s)
+
+
 def run_again(idempotent, executed=True):
     arrivals = [arrival(1, 0.1), arrival(1, 0.2, "i-2", executed=executed)]
     return [sent(1, idempotent=idempotent)], arrivals, [], []
@@ -107,9 +240,74 @@
         (told_at_1_s(2.9), set()),
         (told_at_1_s(3.1), {"leaving"}),
         (told_at_1_s(5.0, Disturbance(HOST, 2.0, 3.0)), set()),
+        # An identifier that comes back after a refusal.
+        (come_back(200, [(1.05, HOST, "i-1", False), (2.05, HOST, "i-1", True)]), set()),
+        (come_back(503, [(1.05, HOST, "i-1", False), (2.05, HOST, "i-1", True)]), {"not-executed"}),
+        (come_back(429, [(1.05, HOST, "i-1", False), (2.05, HOST, "i-1", False)]), set()),
+        (come_back(502, [(1.05, HOST, "i-1", True)]), {"not-executed"}),
+        (come_back(502, [(1.95, HOST, "i-1", True)]), {"not-executed"}),
+        (come_back(502, [(2.05, HOST, "i-1", True)]), set()),
+        (come_back(UNFINISHED, [(2.05, HOST, "i-1", True)]), set()),
+        (come_back(200, [(1.05, HOST, "i-1", True)], idempotent=True), set()),
+        # Sent late by the host of the first attempt, while the second is at another one.
+        (come_back(502, [(2.05, HOST, "i-1", True)], 503, OTHER_HOST), {"not-executed"}),
+        (come_back(502, [(2.05, OTHER_HOST, "i-1", True)], 503, OTHER_HOST), set()),
+        (
+            come_back(200, [(1.05, HOST, "i-1", True), (2.05, HOST, "i-2", True)], 502),
+            {"executed-once"},
+        ),
+        (
+            come_back(200, [(1.05, HOST, "i-1", True), (2.05, HOST, "i-2", True)]),
+            {"not-executed", "executed-once"},
+        ),
+        (come_back_often(150), set()),
+        (come_back_often(150, OTHER_HOST), set()),
+        (come_back_often(150, repeats=124), set()),
+        (come_back_often(150, repeats=125), {"retry-budget"}),
+        (come_back_to_instances(4, 2, 2), set()),
+        (come_back_to_instances(4, 1, 3), {"instance-limit"}),
+        (come_back_to_instances(4, 3, 1), {"instance-limit"}),
+        (come_back_with_deadline(2.4, 1.4), set()),
+        (come_back_with_deadline(2.6, 1.4), {"deadline"}),
+        (come_back_with_deadline(2.4, 1.6), {"deadline"}),
+        (come_back_later_with_new_deadline(1.4), set()),
+        (come_back_later_with_new_deadline(1.6), {"deadline"}),
+        (come_back_and_lose(4, 2.05), {"lost"}),
+        (come_back_and_lose(3, 2.05), set()),
+        (come_back_and_lose(4, 1.05), set()),
+        (come_back_and_lose(4, 2.05, Disturbance(HOST, 1.0, 1.5)), set()),
+        (come_back_to_leaving_instance((0.6, HOST)), set()),
+        (come_back_to_leaving_instance((3.0, HOST)), set()),
+        (come_back_to_leaving_instance((3.2, HOST)), {"leaving"}),
+        (come_back_to_leaving_instance((3.2, HOST), host=OTHER_HOST), set()),
+        (come_back_to_leaving_instance((3.2, HOST), misdirected=True), set()),
+        # Failures that need not be.
+        (failed(5), set()),
+        (failed(6), {"needless-failure"}),
+        (failed(7, 1000), set()),
+        (failed(8, 1000), {"needless-failure"}),
+        (failed(6, arrivals=[("i-1", False)]), {"needless-failure"}),
+        (failed(6, arrivals=[("i-1", False), ("i-2", True)]), set()),
+        (failed(6, status=504), set()),
+        (failed(6, status=503), set()),
+        (failed(6, idempotent=True), set()),
+        (failed(6, disturbances=[Disturbance(HOST, 1.0, 2.0)]), set()),
+        (failed(6, disturbances=[Disturbance(HOST, 1.0, 1.9)]), {"needless-failure"}),
+        (failed(6, disturbances=[Disturbance(OTHER_HOST, 1.0, 2.0)]), {"needless-failure"}),
+        (failed(6, faults=[fault(4.0, 5.0)]), set()),
+        (failed(6, faults=[fault(5.1, 6.0)]), set()),
+        (failed(6, faults=[fault(4.0, 4.9)]), {"needless-failure"}),
+        (failed(6, faults=[fault(5.2, 6.0)]), {"needless-failure"}),
+        (failed(6, faults=[fault(4.0, 6.0, service="shelf")]), {"needless-failure"}),
+        (failed(6, arrivals=[("i-1", False)], faults=[fault(4.0, 6.0)]), set()),
+        (
+            failed(6, arrivals=[("i-1", False)], faults=[fault(4.0, 6.0, "i-2")]),
+            {"needless-failure"},
+        ),
     ],
 )
 def test_broken_rules_are_reported(observed, broken):
     seen = Observations()
-    seen.sent, seen.arrivals, seen.rejections, seen.disturbances = observed
+    seen.sent, seen.arrivals, seen.rejections, seen.disturbances = observed[:4]
+    seen.instance_faults = observed[4] if len(observed) > 4 else []
     assert {violation.rule for violation in check(seen, Bounds())} == broken
