Play refusals that are written again to the same request in the soak

Cause: the callers of the soak used a new identifier for each attempt, and its instances kept id and address, so no request came again on a connection that had refused it. The 421 of an instance lacked Not-Executed. Change: a share of the callers comes back with the identifier that they had, mostly to the same host. New kinds: `refuse` (the refusal is written once more if the request comes again on the connection, and the request runs), `restart` (instances start again at their address under a new id while the old entry stands, with the same for their 421) and `copy` (refusals are written once more 20 to 80 ms later, in use or not). What is kept of a connection goes with it: the number that identified it could belong to a later one. The report has the new connections at instances; `--few-instances` lets a connection carry more requests.

--- a/standins/_serving.py
+++ b/standins/_serving.py
@@ -183,9 +183,10 @@
     request.scope["extensions"][_TRANSPORT].write(data)
 
 
-def connection_key(request: falcon.asgi.Request) -> int:
-    """Returns a number that identifies the connection of `request` while it is open."""
-    return id(request.scope["extensions"][_TRANSPORT])
+def connection_of(request: falcon.asgi.Request) -> asyncio.Transport:
+    """Returns the connection of `request`, which can be referenced weakly."""
+    transport: asyncio.Transport = request.scope["extensions"][_TRANSPORT]
+    return transport
 
 
 async def read_object(request: falcon.asgi.Request) -> dict[str, Any]:
@@ -209,6 +210,11 @@
         """IP:port of the stand-in."""
         return self._server.address
 
+    @property
+    def connections_opened(self) -> int:
+        """Number of connections accepted since the start."""
+        return self._server.connections_opened
+
     async def start(self) -> str:
         """Listens and returns the address."""
         return await self._server.start()
@@ -221,6 +227,10 @@
         """Accepts connections again after `refuse`."""
         await self._server.listen()
 
+    def abort_connections(self) -> None:
+        """Resets every open connection."""
+        self._server.abort_connections()
+
     async def close(self) -> None:
         """Stops listening and resets all connections."""
         await self._server.close()
--- a/standins/soak/__init__.py
+++ b/standins/soak/__init__.py
@@ -5,7 +5,12 @@
 instances that ask for fewer requests.
 """
 
-from standins.soak._deployment import Deployment, Topology
+from standins.soak._deployment import (
+    FEW_INSTANCES,
+    FEW_INSTANCES_WORK_S,
+    Deployment,
+    Topology,
+)
 from standins.soak._plan import EVENTS, build_plan
 from standins.soak._rules import Bounds, Observations, Violation, check
 from standins.soak._run import SoakOptions, SoakReport, run_soak
@@ -14,6 +19,8 @@
     "Bounds",
     "Deployment",
     "EVENTS",
+    "FEW_INSTANCES",
+    "FEW_INSTANCES_WORK_S",
     "Observations",
     "SoakOptions",
     "SoakReport",
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -7,7 +7,14 @@
 
 import defopt
 
-from standins.soak import EVENTS, SoakOptions, Topology, run_soak
+from standins.soak import (
+    EVENTS,
+    FEW_INSTANCES,
+    FEW_INSTANCES_WORK_S,
+    SoakOptions,
+    Topology,
+    run_soak,
+)
 
 _LISTED_VIOLATIONS = 5  # Of each rule.
 
@@ -19,6 +26,7 @@
     seconds: float = 30.0,
     interval: float = 4.0,
     hosts_per_zone: int = 12,
+    few_instances: bool = False,
     kinds: list[str] | None = None,
     logs: Path | None = None,
 ) -> int:
@@ -29,6 +37,7 @@
     :param seconds: Duration of a run.
     :param interval: Mean number of seconds between two disturbances.
     :param hosts_per_zone: Edge hosts in each of the four availability zones.
+    :param few_instances: Have fewer and faster instances, whose connections carry more requests.
     :param kinds: Kinds of disturbances; all by default.
     :param logs: Directory in which the logs of the hosts are kept, one directory for each seed.
     """
@@ -36,11 +45,12 @@
     if unknown:
         print(f"unknown kinds: {', '.join(sorted(unknown))}; known: {', '.join(EVENTS)}")
         return 2
+    topology = Topology(hosts_per_zone)
+    if few_instances:
+        topology = topology._replace(instances=FEW_INSTANCES, work_s=FEW_INSTANCES_WORK_S)
     failed = 0
     for number in range(seed, seed + runs):
-        options = SoakOptions(
-            number, seconds, interval, tuple(kinds or EVENTS), Topology(hosts_per_zone)
-        )
+        options = SoakOptions(number, seconds, interval, tuple(kinds or EVENTS), topology)
         print(f"seed {number}", flush=True)
         directory = None if logs is None else logs / str(number)
         if directory is not None:
@@ -52,6 +62,7 @@
                 print(f"  {each.at_s:6.2f} s: {each.detail}")
         print(
             f"statuses {dict(sorted(report.statuses.items()))}, {report.arrivals} arrivals, "
+            f"{report.connections} connections to instances, "
             f"{report.rejections} rejected with Retry-After, lag {report.lag_s:.2f} s, "
             f"{'broken' if report.violations else 'all rules kept'}",
             flush=True,
--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -14,13 +14,14 @@
     Deployment,
     RouteKind,
 )
-from standins.soak._rules import NOT_EXECUTED_STATUSES, SentRequest
+from standins.soak._rules import NOT_EXECUTED_STATUSES, UNFINISHED, SentRequest
 
 _MAX_RETRIES = 4
 _BODY = b"x" * 1200
 _UPLOAD_BYTES = (2_000, 100_000)  # Sizes of slow uploads; hosts buffer only the smaller one.
 _LOOKUP_TIMEOUT_S = 1.0
 _KEEP_ALIVE_S = 10.0
+_SAME_HOST_SHARE = 0.8  # Of the callers that come back with the identifier that they had.
 
 
 class ZoneCallers:
@@ -30,7 +31,7 @@
         self._deployment, self._zone, self._rng = deployment, zone, rng
         self._directories = [host.ip for host in deployment.hosts if host.zone == zone]
         self._addresses: list[str] = []
-        self._sent = 0  # Also used for identifiers, so it counts each retry.
+        self._sent = 0  # Used for identifiers, so it counts each retry with a new one.
         self._running: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -79,23 +80,37 @@
         """Sends a request, and sends it again while the responses say that it has not run."""
         now_s = self._deployment.now_s
         ends_s = now_s() + kind.timeout_s
+        number, host = self._next_number(), self._rng.choice(self._addresses)
         for _ in range(_MAX_RETRIES + 1):
             left_s = ends_s - now_s()
             if left_s <= 0:
                 return
-            status, retry_after_s = await self._attempt(session, name, kind, left_s)
+            status, retry_after_s = await self._attempt(session, name, number, host, kind, left_s)
             if status not in NOT_EXECUTED_STATUSES:
                 return
+            keeps_id = self._rng.random() < self._deployment.repeated_id_share
+            if not keeps_id:
+                number = self._next_number()
+            if not keeps_id or self._rng.random() >= _SAME_HOST_SHARE:
+                host = self._rng.choice(self._addresses)
             await asyncio.sleep(max(0.0, min(retry_after_s, (ends_s - now_s()) / 3)))
 
+    def _next_number(self) -> int:
+        self._sent += 1
+        return self._sent
+
     async def _attempt(
-        self, session: aiohttp.ClientSession, name: str, kind: RouteKind, deadline_s: float
+        self,
+        session: aiohttp.ClientSession,
+        name: str,
+        number: int,
+        host: str,
+        kind: RouteKind,
+        deadline_s: float,
     ) -> tuple[int, float]:
         """Returns the status, 0 if there was no response, and the Retry-After in seconds."""
         now_s = self._deployment.now_s
-        self._sent += 1
-        request_id = f"{self._zone}-{self._sent:06d}"
-        host = self._rng.choice(self._addresses)
+        request_id = f"{self._zone}-{number:06d}"
         headers = {
             "Host": ROUTE_HOST,
             "Request-Id": request_id,
@@ -106,13 +121,13 @@
         if body and self._rng.random() < self._deployment.slow_upload_share:
             body = self._upload_slowly(deadline_s)
         sent_s = now_s()
-        ended_s, status, leaving, retry_after_s = sent_s, 0, "", 0.0
-        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+        ended_s, status, leaving, retry_after_s = sent_s, UNFINISHED, "", 0.0
+        try:
             async with (
                 asyncio.timeout(deadline_s + 1.0),
                 session.request(
                     method,
-                    f"http://{host}:{CALLER_PORT}/{name}/{self._sent}",
+                    f"http://{host}:{CALLER_PORT}/{name}/{number}",
                     headers=headers,
                     data=body,
                 ) as response,
@@ -123,21 +138,25 @@
                     leaving = response.headers.get("Instance-Id", "")
                 retry_after_s = float(response.headers.get("Retry-After", "0"))
                 await response.read()
-        if status == 0:
-            ended_s = now_s()
-        self._deployment.observations.sent.append(
-            SentRequest(
-                request_id,
-                kind.service,
-                host,
-                sent_s,
-                ended_s,
-                status,
-                leaving,
-                deadline_s,
-                kind.idempotent,
+        except (aiohttp.ClientError, TimeoutError):
+            if status == UNFINISHED:
+                ended_s, status = now_s(), 0
+        finally:
+            # Also at the end of the run: the arrivals of an attempt must not count for an earlier
+            # one with the same identifier.
+            self._deployment.observations.sent.append(
+                SentRequest(
+                    request_id,
+                    kind.service,
+                    host,
+                    sent_s,
+                    ended_s,
+                    status,
+                    leaving,
+                    deadline_s,
+                    kind.idempotent,
+                )
             )
-        )
         return status, retry_after_s
 
     async def _upload_slowly(self, deadline_s: float) -> AsyncIterator[bytes]:
--- a/standins/soak/_deployment.py
+++ b/standins/soak/_deployment.py
@@ -4,7 +4,7 @@
 import contextlib
 import json
 import random
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from pathlib import Path
 from types import MappingProxyType
 from typing import NamedTuple
@@ -14,7 +14,7 @@
 from standins._waiting import poll_until
 from standins.fleet import ManagedProcess
 from standins.soak._instance import Instance
-from standins.soak._rules import Bounds, Disturbance, Observations
+from standins.soak._rules import Bounds, Disturbance, InstanceFault, Observations
 from standins.store import StoreStandin
 
 CALLER_PORT, DIRECTORY_PORT, READINESS_PORT = 8144, 8143, 8140
@@ -72,6 +72,11 @@
     work_s: float = 0.2  # Median service time.
 
 
+# Instances that take as much work, so that each connection carries several times as many requests.
+FEW_INSTANCES = {"fabric-desk": 6, "order-desk": 3}
+FEW_INSTANCES_WORK_S = 0.05
+
+
 class Host:
     """One edge host; its process can be stopped, killed, suspended and started again."""
 
@@ -94,6 +99,8 @@
         self.instances: list[Instance] = []
         self.hosts: list[Host] = []
         self.slow_upload_share = 0.0  # Share of the requests with a body that arrives slowly.
+        # Share of the callers that come back after a refusal with the identifier that they had.
+        self.repeated_id_share = 0.0
         self._created = 0
         self._started_s = 0.0
         # Ports are the same on all hosts, so runs at the same time need other addresses.
@@ -145,9 +152,8 @@
 
     async def add_instance(self, service: str, zone: str) -> Instance:
         """Starts and registers another instance."""
-        self._created += 1
         instance = Instance(
-            f"i-{self._created:03d}",
+            self._next_key(),
             service,
             zone,
             self.store,
@@ -160,6 +166,34 @@
         await instance.start()
         return instance
 
+    def start_instance_again(self, instance: Instance, *, reset: bool) -> str:
+        """Gives an instance a new key at its address; returns the old one, still registered."""
+        old_key = instance.key
+        now_s = self.now_s()
+        instance.start_again(self._next_key(), reset=reset)
+        if reset:
+            self.observations.instance_faults += [
+                InstanceFault(key, instance.service, now_s, now_s)
+                for key in (old_key, instance.key)
+            ]
+        return old_key
+
+    @contextlib.contextmanager
+    def instance_faults(self, instances: Sequence[Instance]) -> Iterator[None]:
+        """Records that instances reset connections, refuse them or are cut off meanwhile."""
+        from_s = self.now_s()
+        yield
+        until_s = self.now_s()
+        self.observations.instance_faults += [
+            InstanceFault(key, each.service, from_s, until_s)
+            for each in instances
+            for key in each.keys
+        ]
+
+    def _next_key(self) -> str:
+        self._created += 1
+        return f"i-{self._created:03d}"
+
     async def restart_host(self, host: Host, stop: Callable[[], None], pause_s: float) -> None:
         """Stops a host by `stop`, which terminates or kills its process, and starts it again."""
         with self._disturbance(host):
--- a/standins/soak/_instance.py
+++ b/standins/soak/_instance.py
@@ -3,9 +3,11 @@
 import asyncio
 import json
 import time
+from collections import OrderedDict
 from collections.abc import Callable
 from random import Random
 from typing import NamedTuple
+from weakref import WeakKeyDictionary
 
 import falcon
 import falcon.asgi
@@ -13,7 +15,7 @@
 from standins._serving import (
     ServedStandin,
     abort_connection,
-    connection_key,
+    connection_of,
     is_body_truncated,
     write_unasked,
 )
@@ -22,7 +24,11 @@
 
 _TOPIC = "keyed.servers"
 _SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
-_REJECTION = "HTTP/1.1 503 Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\nRequest-Id: "
+_REFUSAL = (
+    "HTTP/1.1 {status} Refused\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
+    "Request-Id: {request_id}\r\nInstance-Id: {instance}\r\n\r\n"
+)
+_REFUSALS_KEPT = 64  # Of each connection; more than come again on it.
 _SILENT_S = 30.0  # Longer than any request.
 
 
@@ -37,9 +43,44 @@
     # Share of the requests that are rejected; the rejection is written once more ahead of the next
     # response on its connection.
     repeated_rejection_share: float = 0.0
+    # Share of the requests that are refused with `refusal_status`.
+    refusal_share: float = 0.0
+    refusal_status: int = 503
+    # If a request comes again on the connection on which it was refused, the refusal is written
+    # once more and the request is run.
+    repeats_to_same_request: bool = False
+    copy_delay_s: float = 0.0  # Writes each refusal once more about so much later; 0 does not.
     leaving: bool = False  # Says so in all responses.
 
 
+def _write_if_open(connection: asyncio.Transport, data: bytes) -> None:
+    if not connection.is_closing():
+        connection.write(data)
+
+
+class _Refusals:
+    """Refusals of one connection that are to be written once more."""
+
+    def __init__(self) -> None:
+        self.next = b""  # Ahead of the next response.
+        self._by_request: OrderedDict[str, bytes] = OrderedDict()
+
+    def keep(self, request_id: str, refusal: bytes) -> None:
+        """Keeps a refusal in case the request comes again; drops the oldest of too many."""
+        self._by_request[request_id] = refusal
+        if len(self._by_request) > _REFUSALS_KEPT:
+            self._by_request.popitem(last=False)
+
+    def take(self, request_id: str) -> bytes:
+        """Removes and returns the refusal of a request; empty if there is none."""
+        return self._by_request.pop(request_id, b"")
+
+    def take_next(self) -> bytes:
+        """Removes and returns the refusal to be written ahead of the next response, or empty."""
+        refusal, self.next = self.next, b""
+        return refusal
+
+
 class Instance(ServedStandin):
     """Runs `slots` requests at the same time and queues as many more."""
 
@@ -56,6 +97,7 @@
         slots: int = 4,
     ) -> None:
         self.key, self.service, self.zone, self.slots = key, service, zone, slots
+        self.keys = [key]  # All that it has had.
         self.conditions = Conditions()
         self.started = False
         self.relay_address = ""  # Address to register, if not that of the instance itself.
@@ -63,7 +105,8 @@
         self._work_s = work_s
         self._running = asyncio.Semaphore(slots)
         self._accepted = 0
-        self._rejections: dict[int, bytes] = {}  # To be written once more, by connection.
+        # Entries go with their connection.
+        self._refusals: WeakKeyDictionary[asyncio.Transport, _Refusals] = WeakKeyDictionary()
         self._started_unix_ms = int(time.time() * 1000)
         application = falcon.asgi.App()
         application.add_sink(self._serve, prefix="/")
@@ -76,6 +119,18 @@
         self.register()
         return address
 
+    def start_again(self, key: str, *, reset: bool) -> None:
+        """Gets a new key at the same address and registers; the entry of the old key remains.
+
+        Without `reset` the connections stay open, as behind a proxy of the platform.
+        """
+        self.key = key
+        self.keys.append(key)
+        self._started_unix_ms = int(time.time() * 1000)
+        if reset:
+            self.abort_connections()
+        self.register()
+
     def register(self, state: str = "ready") -> None:
         """Writes the registration to the store."""
         document = {
@@ -91,9 +146,9 @@
         }
         self._store.append_record(_TOPIC, self.key, json.dumps(document).encode())
 
-    def deregister(self) -> None:
-        """Removes the registration from the store."""
-        self._store.append_record(_TOPIC, self.key, b"")
+    def deregister(self, key: str = "") -> None:
+        """Removes the registration of `key`, by default the present one, from the store."""
+        self._store.append_record(_TOPIC, key or self.key, b"")
 
     async def _serve(
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response | None, **_: object
@@ -109,20 +164,20 @@
         resp.set_header("Instance-Id", self.key)
         if conditions.leaving:
             resp.set_header("Server-Leaving", "1")
-        if req.get_header("Expect-Instance") not in (None, self.key):
-            resp.status = falcon.HTTP_421
-            return
         host = req.scope["client"][0]
-        repeated = self._rejections.pop(connection_key(req), None)
-        if repeated is not None:
-            write_unasked(req, repeated)
+        misdirected = req.get_header("Expect-Instance") not in (None, self.key)
+        connection = connection_of(req)
+        refusals = self._refusals.setdefault(connection, _Refusals())
+        runs_again = b""
+        if conditions.repeats_to_same_request and not misdirected:
+            runs_again = refusals.take(request_id)
+        write_unasked(req, refusals.take_next() + runs_again)
         rejects_again = self._rng.random() < conditions.repeated_rejection_share
-        if rejects_again:
-            rejection = f"{_REJECTION}{request_id}\r\n\r\n"
-            self._rejections[connection_key(req)] = rejection.encode()
-        executes = not (
-            conditions.retry_after_s or rejects_again or self._accepted >= 2 * self.slots
-        )
+        refusal_status = 503 if rejects_again else self._refusal_status(conditions)
+        if misdirected:
+            refusal_status = 421
+        elif runs_again:
+            refusal_status = 0
         deadline_ms = req.get_header_as_int("Deadline-Ms")
         self._observations.arrivals.append(
             Arrival(
@@ -132,17 +187,28 @@
                 self.key,
                 host,
                 None if deadline_ms is None else deadline_ms / 1000,
-                executes,
+                not refusal_status,
+                misdirected,
             )
         )
-        if not executes:
-            resp.status = falcon.HTTP_503
+        if refusal_status:
+            resp.status = falcon.code_to_http_status(refusal_status)
             resp.set_header("Not-Executed", "1")
-            if conditions.retry_after_s:
+            if conditions.retry_after_s and not misdirected:
                 resp.set_header("Retry-After", f"{conditions.retry_after_s:g}")
                 self._observations.rejections.append(
                     Rejection(self._now_s(), self.key, host, conditions.retry_after_s)
                 )
+            refusal = _REFUSAL.format(
+                status=refusal_status, request_id=request_id, instance=self.key
+            ).encode()
+            if rejects_again:
+                refusals.next = refusal
+            elif conditions.repeats_to_same_request:
+                refusals.keep(request_id, refusal)
+            if conditions.copy_delay_s:
+                delay_s = self._rng.uniform(0.5, 1.5) * conditions.copy_delay_s
+                asyncio.get_running_loop().call_later(delay_s, _write_if_open, connection, refusal)
             return
         if self._rng.random() < conditions.reset_share:
             abort_connection(req)
@@ -160,3 +226,11 @@
             resp.status = falcon.code_to_http_status(conditions.failure_status)
         resp.set_header("Response-Seal", _SEAL)
         resp.text = f"{self.service} {request_id}"
+
+    def _refusal_status(self, conditions: Conditions) -> int:
+        """Returns the status with which a request is refused, or 0 if it is run."""
+        if conditions.retry_after_s or self._accepted >= 2 * self.slots:
+            return 503
+        if self._rng.random() < conditions.refusal_share:
+            return conditions.refusal_status
+        return 0
--- a/standins/soak/_plan.py
+++ b/standins/soak/_plan.py
@@ -19,6 +19,9 @@
     "resets": StoreConditions(resets=True),
     "silent": StoreConditions(silent=True),
 }
+_REPEATED_ID_SHARE = 0.5  # Callers that keep their identifier, added by each event at a time.
+_RESET_SHARE = 0.5  # Restarts of instances that reset their connections.
+_OLD_ENTRY_S = (0.4, 1.5)  # Time for which the entry of the id before still stands.
 _SWITCH_S = 2.5  # Time until hosts use a changed address only.
 _LINGER_S = 6.0  # Time for which a leaving instance still serves.
 
@@ -79,12 +82,16 @@
 async def _disturb(deployment: Deployment, rng: Random, conditions: Conditions) -> int:
     """Applies conditions to some instances of a service for a time; returns their number."""
     instances = _share(rng, _sound_instances(deployment, rng), 0.2, 0.6)
+    await _apply(instances, conditions, rng.uniform(3.0, 8.0))
+    return len(instances)
+
+
+async def _apply(instances: Sequence[Instance], conditions: Conditions, for_s: float) -> None:
     for each in instances:
         each.conditions = conditions
-    await asyncio.sleep(rng.uniform(3.0, 8.0))
+    await asyncio.sleep(for_s)
     for each in instances:
         each.conditions = Conditions(leaving=each.conditions.leaving)
-    return len(instances)
 
 
 @event("reject")
@@ -103,8 +110,10 @@
 @event("reset")
 async def _reset(deployment: Deployment, rng: Random) -> str:
     """Instances reset a part of the requests that they run."""
-    count = await _disturb(deployment, rng, Conditions(reset_share=0.7))
-    return f"{count} instances reset requests"
+    instances = _share(rng, _sound_instances(deployment, rng), 0.2, 0.6)
+    with deployment.instance_faults(instances):
+        await _apply(instances, Conditions(reset_share=0.7), rng.uniform(3.0, 8.0))
+    return f"{len(instances)} instances reset requests"
 
 
 @event("fail")
@@ -122,6 +131,54 @@
     return f"{count} instances wrote rejections once more"
 
 
+@event("refuse")
+async def _refuse(deployment: Deployment, rng: Random) -> str:
+    """Callers and hosts come back to instances that then write their refusal once more."""
+    status = rng.choice((429, 503))
+    conditions = Conditions(refusal_share=0.6, refusal_status=status, repeats_to_same_request=True)
+    instances = _share(rng, _sound_instances(deployment, rng), 0.5, 1.0)
+    deployment.repeated_id_share += _REPEATED_ID_SHARE
+    await _apply(instances, conditions, rng.uniform(3.0, 8.0))
+    deployment.repeated_id_share -= _REPEATED_ID_SHARE
+    return f"{len(instances)} instances refused requests with {status}, again if they came again"
+
+
+@event("copy")
+async def _copy(deployment: Deployment, rng: Random) -> str:
+    """Instances write refusals once more some time after them, whatever the connection carries."""
+    delay_s = rng.choice((0.02, 0.05, 0.08))
+    conditions = Conditions(refusal_share=0.6, copy_delay_s=delay_s)
+    instances = _share(rng, _sound_instances(deployment, rng), 0.5, 1.0)
+    deployment.repeated_id_share += _REPEATED_ID_SHARE
+    await _apply(instances, conditions, rng.uniform(3.0, 8.0))
+    deployment.repeated_id_share -= _REPEATED_ID_SHARE
+    return f"{len(instances)} instances wrote refusals once more {delay_s * 1000:.0f} ms later"
+
+
+@event("restart")
+async def _restart(deployment: Deployment, rng: Random) -> str:
+    """Instances start again at their address under a new id; the old entry stands for a time."""
+    instances = _share(rng, _sound_instances(deployment, rng), 0.3, 1.0)
+    reset = rng.random() < _RESET_SHARE
+    for_s, count = rng.uniform(3.0, 8.0), 0
+    ends_s = deployment.now_s() + for_s
+    playing = asyncio.create_task(
+        _apply(instances, Conditions(repeats_to_same_request=True), for_s)
+    )
+    while deployment.now_s() < ends_s:
+        old_keys = [
+            (each, deployment.start_instance_again(each, reset=reset))
+            for each in instances
+            if each.started and not each.conditions.leaving
+        ]
+        count += len(old_keys)
+        await asyncio.sleep(rng.uniform(*_OLD_ENTRY_S))
+        for each, key in old_keys:
+            each.deregister(key)
+    await playing
+    return f"{len(instances)} instances started again, {count} times{', resets' if reset else ''}"
+
+
 @event("silent")
 async def _silent(deployment: Deployment, rng: Random) -> str:
     """Instances run requests and do not respond."""
@@ -133,12 +190,13 @@
 async def _crash(deployment: Deployment, rng: Random) -> str:
     """Instances reset their connections and refuse new ones."""
     instances = _share(rng, _sound_instances(deployment, rng), 0.1, 0.4)
-    for each in instances:
-        each.refuse()
-    await asyncio.sleep(rng.uniform(2.0, 5.0))
-    for each in instances:
-        if each.started:
-            await each.listen()
+    with deployment.instance_faults(instances):
+        for each in instances:
+            each.refuse()
+        await asyncio.sleep(rng.uniform(2.0, 5.0))
+        for each in instances:
+            if each.started:
+                await each.listen()
     return f"{len(instances)} instances refused connections"
 
 
@@ -153,13 +211,14 @@
         each.register()
     await asyncio.sleep(_SWITCH_S)
     from_s = deployment.now_s()
-    for relay in relays:
-        relay.cut([direction])
-    await asyncio.sleep(rng.uniform(2.0, 5.0))
-    for relay in relays:
-        relay.heal()
+    with deployment.instance_faults(instances):
+        for relay in relays:
+            relay.cut([direction])
+        await asyncio.sleep(rng.uniform(2.0, 5.0))
+        for relay in relays:
+            relay.heal()
     deployment.observations.disturbances += [
-        Disturbance(each.key, from_s, deployment.now_s()) for each in instances
+        Disturbance(key, from_s, deployment.now_s()) for each in instances for key in each.keys
     ]
     await asyncio.sleep(_SWITCH_S)
     for each in instances:
--- a/standins/soak/_run.py
+++ b/standins/soak/_run.py
@@ -12,7 +12,7 @@
 from standins.soak._callers import ZoneCallers
 from standins.soak._deployment import Deployment, Topology
 from standins.soak._plan import EVENTS, Event, build_plan
-from standins.soak._rules import Bounds, Disturbance, Violation, check
+from standins.soak._rules import UNFINISHED, Bounds, Disturbance, Violation, check
 
 _SETTLE_S = 3.0  # Time after the last event in which requests still end.
 _LAG_INTERVAL_S = 0.05
@@ -36,8 +36,9 @@
     """Result of a run."""
 
     violations: tuple[Violation, ...]
-    statuses: Counter[int]  # Requests by status; 0 if there was no response.
+    statuses: Counter[int]  # Finished requests by status; 0 if there was no response.
     arrivals: int  # Requests that reached instances.
+    connections: int  # Connections that instances accepted.
     rejections: int  # Requests that instances rejected with Retry-After.
     lag_s: float  # Longest delay of the process with the callers and the instances.
 
@@ -81,8 +82,9 @@
     seen = deployment.observations
     return SoakReport(
         (*ended, *check(seen, options.bounds)),
-        Counter(sent.status for sent in seen.sent),
-        len(seen.arrivals),
+        Counter(sent.status for sent in seen.sent if sent.status != UNFINISHED),
+        sum(bool(arrival.request_id) for arrival in seen.arrivals),
+        sum(each.connections_opened for each in deployment.instances),
         len(seen.rejections),
         max(lags, default=0.0),
     )
