Test that a refusal written again to the same request is not believed

Cause: the short runs of the soak play no request that comes again on the connection that refused it.

--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -7,10 +7,17 @@
 
 import pytest
 
-from standins.soak import SoakOptions, Topology, run_soak
+from standins.soak import (
+    FEW_INSTANCES,
+    FEW_INSTANCES_WORK_S,
+    SoakOptions,
+    Topology,
+    run_soak,
+)
 
 TOPOLOGY = Topology(hosts_per_zone=2)
 DISTURBED = ("reject", "reset", "leave", "outage", "terminate", "kill", "suspend")
+REFUSED_AGAIN = ("refuse", "copy", "restart")
 ANSWERED_WRONGLY = ("fail", "repeat", "silent", "upload", "crash", "cut")
 
 
@@ -28,3 +35,15 @@
     report = asyncio.run(run_soak(options))
     assert report.violations == ()
     assert report.statuses[200] > 0.5 * report.statuses.total()
+
+
+def test_no_request_runs_that_came_again_and_whose_earlier_refusal_was_written_again():
+    """Callers keep their identifier, and instances start again at their address.
+
+    With few instances it is more likely that the request comes again on the same connection.
+    """
+    topology = TOPOLOGY._replace(instances=FEW_INSTANCES, work_s=FEW_INSTANCES_WORK_S)
+    report = asyncio.run(run_soak(SoakOptions(43, 14.0, 2.0, REFUSED_AGAIN, topology)))
+    assert report.violations == ()
+    assert report.statuses[503] > 0
+    assert report.statuses[200] > 0.5 * report.statuses.total()
