--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -24,12 +24,13 @@
 from anviltray.settings import UpstreamSettings
 from anviltray.telemetry import describe_error
 from anviltray.upstreams._acknowledgement import is_acknowledged
-from anviltray.upstreams._connector import UpstreamConnector
+from anviltray.upstreams._connector import ConnectionUse, UpstreamConnector
 from anviltray.upstreams._dialect import NO_SIGNALS, Dialect, Signals
 from anviltray.upstreams._errors import (
     ConnectFailed,
     ConnectionsExhausted,
     ExchangeBroken,
+    ForeignResponse,
     InvalidResponse,
     UpstreamError,
 )
@@ -54,7 +55,8 @@
     chunked: bool = False  # Whether the length of a streamed body is not in the headers.
     unrepeatable: bool = False  # Requires a connection that was idle only for a short time.
     fresh: bool = False  # Requires a new connection.
-    request_id: str | None = None  # Identifier that the response must not contradict.
+    # Identifier that the response must not contradict, and that its connection has not carried.
+    request_id: str | None = None
 
 
 class ExchangeObserver(Protocol):
@@ -66,10 +68,11 @@
     def on_connection(self, fresh: bool) -> None:
         """Called when an idle connection was chosen, or before a new one (`fresh`) is opened."""
 
-    def on_write_start(self, acknowledged: Callable[[], bool]) -> None:
+    def on_write_start(self, use: ConnectionUse, acknowledged: Callable[[], bool]) -> None:
         """Called before the first byte of the request is written.
 
-        `acknowledged` returns whether the kernel of the upstream has acknowledged all sent data.
+        `use` identifies the connection and the exchange on it. `acknowledged` returns whether the
+        kernel of the upstream has acknowledged all sent data.
         """
 
     def on_first_byte(self) -> None:
@@ -82,7 +85,7 @@
     def on_connection(self, fresh: bool) -> None:
         """See ExchangeObserver."""
 
-    def on_write_start(self, acknowledged: Callable[[], bool]) -> None:
+    def on_write_start(self, use: ConnectionUse, acknowledged: Callable[[], bool]) -> None:
         """See ExchangeObserver."""
 
     def on_first_byte(self) -> None:
@@ -96,15 +99,20 @@
     connection, so late bytes cannot be attributed to another exchange.
     """
 
-    __slots__ = ("_response", "headers", "signals", "status")
+    __slots__ = ("_response", "headers", "signals", "skipped_count", "status")
 
     def __init__(
-        self, response: ClientResponse, headers: list[tuple[bytes, bytes]], signals: Signals
+        self,
+        response: ClientResponse,
+        headers: list[tuple[bytes, bytes]],
+        signals: Signals,
+        skipped_count: int = 0,
     ) -> None:
         self._response = response
         self.status = response.status
         self.headers = headers  # Names in lower case, without hop-by-hop fields.
         self.signals = signals
+        self.skipped_count = skipped_count  # Responses to earlier requests that arrived before it.
 
     def read_rest_nowait(self) -> bytes | None:
         """Returns the remaining body if it has arrived completely, else None."""
@@ -191,7 +199,7 @@
         self._loop = asyncio.get_running_loop()
         self.dialect = Dialect(settings)
         self._connector = UpstreamConnector(
-            settings.idle_limit_s, settings.instance_connections, source_ip
+            self.dialect, settings.idle_limit_s, settings.instance_connections, source_ip
         )
         self._session = ClientSession(
             connector=self._connector, cookie_jar=DummyCookieJar(), auto_decompress=False
@@ -265,13 +273,15 @@
         # A streamed body always has segments in flight, so these are not evidence of a fault.
         buffered = request.body is None or isinstance(request.body, bytes)
         transport = protocol.transport if buffered else None
-        observer.on_write_start(lambda: is_acknowledged(transport))
+        use = self._connector.start_exchange(connection, request.request_id)
+        observer.on_write_start(use, lambda: is_acknowledged(transport))
         response: ClientResponse | None = None
         try:
             response = await message.send(connection)
             await response.start(connection)
             observer.on_first_byte()
-            return self._build_response(request, response)
+            skipped_count = self._connector.skipped_count(protocol)
+            return self._build_response(request, response, skipped_count)
         except BaseException as error:
             if response is not None:
                 response.close()
@@ -293,7 +303,7 @@
         key = self._key(address)
         if not request.fresh:
             limit_s = self._idle_limit_s(request.unrepeatable)
-            connection = self._connector.acquire_idle(key, limit_s)
+            connection = self._connector.acquire_idle(key, limit_s, request.request_id)
             if connection is not None:
                 observer.on_connection(False)
                 return connection
@@ -306,7 +316,7 @@
             raise ConnectFailed(f"{address}: {describe_error(error)}") from error
 
     def _build_response(
-        self, request: UpstreamRequest, response: ClientResponse
+        self, request: UpstreamRequest, response: ClientResponse, skipped_count: int
     ) -> UpstreamResponse:
         self._check_request_id(request.request_id, response)
         signal_headers = self.dialect.signal_headers
@@ -339,19 +349,20 @@
                 "the response has neither a Content-Length header nor chunked encoding"
             )
         signals = self.dialect.signals(status, signal_fields) if signal_fields else NO_SIGNALS
-        return UpstreamResponse(response, headers, signals)
+        return UpstreamResponse(response, headers, signals, skipped_count)
 
     def _check_request_id(self, request_id: str | None, response: ClientResponse) -> None:
-        """Raises InvalidResponse if the response is not certain to belong to the request.
+        """Raises ForeignResponse if the response is not certain to belong to the request.
 
         An upstream may write a response to an earlier request once more. Nothing in it says what
-        happened to this request, not even that it was refused.
+        happened to this request, not even that it was refused. A response to an earlier attempt of
+        the same request cannot arrive here, as a connection carries an identifier once.
         """
         found = response.headers.getall(self.dialect.request_id_header, ())
         if any(value != request_id for value in found):
-            raise InvalidResponse(f"the response belongs to request {found!r}")
+            raise ForeignResponse(f"the response belongs to request {found!r}")
         if self._settings.require_request_id and request_id is not None and not found:
-            raise InvalidResponse("the response has no request identifier")
+            raise ForeignResponse("the response has no request identifier")
 
     async def probe(self, address: str, timeout_s: float) -> bool:
         """Queries the health endpoint over a new connection; any failure counts as unhealthy."""
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import functools
+import itertools
 import math
 import re
 import select
+from array import array
 from http import HTTPStatus
 from time import monotonic
-from typing import Any
+from typing import Any, NamedTuple
 
 from aiohttp import ClientPayloadError, ClientTimeout, StreamReader, TCPConnector, hdrs
 from aiohttp.client_proto import ResponseHandler
@@ -15,9 +17,14 @@
 from aiohttp.connector import Connection
 from aiohttp.http import HttpProcessingError, RawResponseMessage
 
+from anviltray.upstreams._dialect import Dialect
+
 # Limit for all response heads of one exchange, with the informational ones before the final head.
 _HEADS_LIMIT_BYTES = 131072
 _INFORMATIONAL_LIMIT = 16  # Maximum number of informational responses in one exchange.
+# Responses to earlier requests that are skipped in one exchange, and the length of their bodies.
+_SKIPPED_LIMIT = 16
+_SKIPPED_BODY_LIMIT_BYTES = 32768
 # Limit for bytes of chunk lengths and extensions. Chunks of one byte have five bytes of framing.
 _FRAMING_LIMIT_BYTES = 65536
 _FRAMING_FACTOR = 8
@@ -25,23 +32,46 @@
 _READ_LIMIT_BYTES = 65536
 _HEAD_END = b"\r\n\r\n"
 _FIRST_FINAL_STATUS = 200
+_BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+_SHORT_LENGTH = re.compile(r"[0-9]{1,5}")
 # Share of the idle timeout stated by an upstream in which its connections are reused. A request
 # that crosses the close of its connection is lost.
 _KEEP_ALIVE_SHARE = 0.8
+# Requests with an identifier that one connection carries, as it keeps their identifiers. Each takes
+# 8 bytes, and a new connection for so many requests costs an instance little.
+_IDENTIFIER_LIMIT = 256
+_connection_numbers = itertools.count(1)
 _KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[,;\s])timeout\s*=\s*\"?(\d{1,6})", re.IGNORECASE)
 
 
+class ConnectionUse(NamedTuple):
+    """Identifies one exchange on one connection, for logs."""
+
+    connection: int  # Number of the connection, unique in this process.
+    exchange: int  # Number of the exchange on this connection, from 1.
+
+
 class _ResponseHandler(ResponseHandler):
     """Delivers a complete response whatever follows it, and bounds bytes that are no response.
 
+    Responses to earlier requests of the connection that are written once more ahead of the response
+    to the current one are skipped; their identifiers tell.
+
     aiohttp drops a complete response if bytes in the same segment cannot be parsed, accepts
     informational responses and chunk extensions without end, and reports an invalid chunk only to
     the reader of the next response head.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, dialect: Dialect) -> None:
         super().__init__(loop=loop)
+        self._dialect = dialect
         self.idle_limit_s = math.inf  # From the idle timeout that the upstream has stated.
+        self._number = next(_connection_numbers)
+        self._exchange_count = 0
+        self._identifier_hashes = array("q")  # Of the requests that this connection has carried.
+        self._current_hash: int | None = None  # Of the current request, if it has an identifier.
+        self.skipped_count = 0  # Responses to earlier requests that the current exchange skipped.
+        self._skipped_body_bytes = 0  # Rest of the body that is being skipped.
         self._has_final_head = False
         self._last_bytes = b""  # End of the data so far, as a head may end across two segments.
         self._head_bytes = 0
@@ -53,6 +83,23 @@
         super().connection_made(transport)
         transport.max_size = _READ_LIMIT_BYTES  # type: ignore[attr-defined]
 
+    def start_exchange(self, request_id: str | None) -> ConnectionUse:
+        """Registers the exchange whose request is about to be written."""
+        self._exchange_count += 1
+        self._current_hash = None if request_id is None else hash(request_id)
+        if self._current_hash is not None:
+            self._identifier_hashes.append(self._current_hash)
+            if len(self._identifier_hashes) >= _IDENTIFIER_LIMIT:
+                self._should_close = True
+        return ConnectionUse(self._number, self._exchange_count)
+
+    def has_carried(self, request_id: str) -> bool:
+        """Returns whether a request with this identifier was written; may be wrong if it was not.
+
+        Two identifiers with the same hash only cost another connection.
+        """
+        return hash(request_id) in self._identifier_hashes
+
     def set_response_params(self, **arguments: Any) -> None:
         """Prepares for the response to the next request on this connection."""
         self._has_final_head = False
@@ -60,20 +107,40 @@
         self._head_bytes = 0
         self._informational_count = 0
         self._received_body_bytes = 0
+        self.skipped_count = 0
         super().set_response_params(**arguments)
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
-        """Adds a response head to the queue; drops informational ones."""
+        """Adds a response head to the queue; drops informational and repeated ones."""
         status = data[0].code
-        if status >= _FIRST_FINAL_STATUS or status == HTTPStatus.SWITCHING_PROTOCOLS:
+        if self._is_skippable(data[0]):
+            self.skipped_count += 1
+            self._skipped_body_bytes = _short_body_bytes(data[0]) or 0
+        elif status >= _FIRST_FINAL_STATUS or status == HTTPStatus.SWITCHING_PROTOCOLS:
             self._has_final_head = True
             timeout = _KEEP_ALIVE_TIMEOUT.search(data[0].headers.get(hdrs.KEEP_ALIVE, ""))
             if timeout is not None:
                 self.idle_limit_s = _KEEP_ALIVE_SHARE * int(timeout[1])
+            if self._dialect.is_unidentified_refusal(status, data[0].headers):
+                # A copy of it could be taken for the refusal of the next request.
+                self._should_close = True
             super().feed_data(data, size)
         else:
             self._informational_count += 1
 
+    def _is_skippable(self, message: RawResponseMessage) -> bool:
+        """Returns whether a response is certain to belong to an earlier request."""
+        found = message.headers.getall(self._dialect.request_id_header, ())
+        hashes = {hash(each) for each in found}
+        return (
+            bool(hashes)
+            and self._current_hash not in hashes
+            and hashes.issubset(self._identifier_hashes)
+            and self.skipped_count < _SKIPPED_LIMIT
+            and not self._skip_payload
+            and _short_body_bytes(message) is not None
+        )
+
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; an exchange ends with the last byte of its response."""
         if not self._has_final_head:
@@ -96,6 +163,11 @@
         The parser gets each head separately, because it loses the heads of a call that fails.
         """
         while data and not self._has_final_head:
+            if self._skipped_body_bytes:
+                body, data = data[: self._skipped_body_bytes], data[self._skipped_body_bytes :]
+                self._skipped_body_bytes -= len(body)
+                super().data_received(body)
+                continue
             overlap = len(self._last_bytes)
             start = (self._last_bytes + data).find(_HEAD_END)
             end = len(data) if start < 0 else start + len(_HEAD_END) - overlap
@@ -153,10 +225,18 @@
     most recently used one, so that surplus connections reach the idle limit and are closed. It
     first checks a connection for unread input, so that a closed connection or a late response is
     detected before a byte of the next request is written.
+
+    A connection carries one identifier once, and no request after a refusal without an identifier.
+    An upstream may write a refusal again, and nothing would tell the copy from the refusal of the
+    request that is under way then.
     """
 
     def __init__(
-        self, idle_limit_s: float, connections_per_instance: int, source_ip: str = ""
+        self,
+        dialect: Dialect,
+        idle_limit_s: float,
+        connections_per_instance: int,
+        source_ip: str = "",
     ) -> None:
         # With this class, aiohttp uses the keep-alive time only as the interval between clean-ups.
         super().__init__(
@@ -167,23 +247,32 @@
             keepalive_timeout=idle_limit_s / 4,
             local_addr=(source_ip, 0) if source_ip else None,
         )
-        self._factory = functools.partial(_ResponseHandler, loop=self._loop)  # type: ignore[assignment]
+        self._factory = functools.partial(  # type: ignore[assignment]
+            _ResponseHandler, loop=self._loop, dialect=dialect
+        )
         self._idle_limit_s = idle_limit_s
         self.connections_per_instance = connections_per_instance
         self._open_counts: dict[ConnectionKey, int] = {}  # Connections in use or being opened.
 
-    def acquire_idle(self, key: ConnectionKey, idle_limit_s: float) -> Connection | None:
-        """Returns an idle connection within the idle limit, or None if there is none."""
+    def acquire_idle(
+        self, key: ConnectionKey, idle_limit_s: float, request_id: str | None
+    ) -> Connection | None:
+        """Returns an idle connection within the idle limit for a request, or None if there is none.
+
+        The connection has not carried a request with the identifier `request_id`.
+        """
         idle = self._conns.get(key)
         if idle is None:
             return None
         now = monotonic()
         reused: ResponseHandler | None = None
-        while idle:
-            protocol, idle_since = idle[-1]
+        for index in reversed(range(len(idle))):
+            protocol, idle_since = idle[index]
             if now - idle_since > min(idle_limit_s, _stated_limit_s(protocol)):
                 break  # The remaining ones have been idle for longer.
-            idle.pop()
+            if request_id is not None and _has_carried(protocol, request_id):
+                continue
+            del idle[index]
             if _is_reusable(protocol):
                 reused = protocol
                 break
@@ -229,6 +318,17 @@
                 del self._conns[key]
         return True
 
+    def start_exchange(self, connection: Connection, request_id: str | None) -> ConnectionUse:
+        """Registers an exchange on an acquired connection; called before its request is written."""
+        protocol = connection.protocol
+        assert isinstance(protocol, _ResponseHandler)
+        return protocol.start_exchange(request_id)
+
+    @staticmethod
+    def skipped_count(protocol: ResponseHandler) -> int:
+        """Returns how many responses to earlier requests the latest exchange has skipped."""
+        return protocol.skipped_count if isinstance(protocol, _ResponseHandler) else 0
+
     def close_idle(self, key: ConnectionKey) -> None:
         """Closes all idle connections to an instance, so that the next exchange opens a new one."""
         for protocol, _ in self._conns.pop(key, ()):
@@ -281,6 +381,21 @@
     return protocol.idle_limit_s if isinstance(protocol, _ResponseHandler) else math.inf
 
 
+def _short_body_bytes(message: RawResponseMessage) -> int | None:
+    """Returns the stated length of a body, or None if it is long or not stated by a length."""
+    stated = _SHORT_LENGTH.fullmatch(message.headers.get(hdrs.CONTENT_LENGTH, ""))
+    if stated is None or message.chunked or message.code < _FIRST_FINAL_STATUS:
+        return None
+    if message.code in _BODILESS_STATUSES:
+        return None
+    length_bytes = int(stated[0])
+    return length_bytes if length_bytes <= _SKIPPED_BODY_LIMIT_BYTES else None
+
+
+def _has_carried(protocol: ResponseHandler, request_id: str) -> bool:
+    return isinstance(protocol, _ResponseHandler) and protocol.has_carried(request_id)
+
+
 def _is_reusable(protocol: ResponseHandler) -> bool:
     """Returns whether an idle connection is open and has no unread input.
 
