--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -7,6 +7,7 @@
 import re
 import select
 from array import array
+from collections.abc import Callable
 from http import HTTPStatus
 from time import monotonic
 from typing import Any, NamedTuple
@@ -41,6 +42,7 @@
 # 8 bytes, and a new connection for so many requests costs an instance little.
 _IDENTIFIER_LIMIT = 256
 _connection_numbers = itertools.count(1)
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
 _KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[,;\s])timeout\s*=\s*\"?(\d{1,6})", re.IGNORECASE)
 
 
@@ -70,7 +72,8 @@
         self._exchange_count = 0
         self._identifier_hashes = array("q")  # Of the requests that this connection has carried.
         self._current_hash: int | None = None  # Of the current request, if it has an identifier.
-        self.skipped_count = 0  # Responses to earlier requests that the current exchange skipped.
+        self._on_skipped: Callable[[], None] = _ignore_skipped
+        self._skipped_count = 0  # Responses to earlier requests in the current exchange.
         self._skipped_body_bytes = 0  # Rest of the body that is being skipped.
         self._has_final_head = False
         self._last_bytes = b""  # End of the data so far, as a head may end across two segments.
@@ -83,9 +86,12 @@
         super().connection_made(transport)
         transport.max_size = _READ_LIMIT_BYTES  # type: ignore[attr-defined]
 
-    def start_exchange(self, request_id: str | None) -> ConnectionUse:
+    def start_exchange(
+        self, request_id: str | None, on_skipped: Callable[[], None]
+    ) -> ConnectionUse:
         """Registers the exchange whose request is about to be written."""
         self._exchange_count += 1
+        self._on_skipped = on_skipped
         self._current_hash = None if request_id is None else hash(request_id)
         if self._current_hash is not None:
             self._identifier_hashes.append(self._current_hash)
@@ -107,17 +113,22 @@
         self._head_bytes = 0
         self._informational_count = 0
         self._received_body_bytes = 0
-        self.skipped_count = 0
+        self._skipped_count = 0
+        self._skipped_body_bytes = 0
         super().set_response_params(**arguments)
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """Adds a response head to the queue; drops informational and repeated ones."""
         status = data[0].code
-        if self._is_skippable(data[0]):
-            self.skipped_count += 1
+        if _holds_two_responses(data[0]):
+            self._fail("the response head holds the status line of another response")
+        elif not self._has_final_head and self._is_skippable(data[0]):
+            self._skipped_count += 1
             self._skipped_body_bytes = _short_body_bytes(data[0]) or 0
+            self._on_skipped()
         elif status >= _FIRST_FINAL_STATUS or status == HTTPStatus.SWITCHING_PROTOCOLS:
             self._has_final_head = True
+            self._on_skipped = _ignore_skipped  # Keeps nothing of the exchange alive while idle.
             timeout = _KEEP_ALIVE_TIMEOUT.search(data[0].headers.get(hdrs.KEEP_ALIVE, ""))
             if timeout is not None:
                 self.idle_limit_s = _KEEP_ALIVE_SHARE * int(timeout[1])
@@ -136,7 +147,7 @@
             bool(hashes)
             and self._current_hash not in hashes
             and hashes.issubset(self._identifier_hashes)
-            and self.skipped_count < _SKIPPED_LIMIT
+            and self._skipped_count < _SKIPPED_LIMIT
             and not self._skip_payload
             and _short_body_bytes(message) is not None
         )
@@ -164,9 +175,7 @@
         """
         while data and not self._has_final_head:
             if self._skipped_body_bytes:
-                body, data = data[: self._skipped_body_bytes], data[self._skipped_body_bytes :]
-                self._skipped_body_bytes -= len(body)
-                super().data_received(body)
+                data = self._skip_body(data)
                 continue
             overlap = len(self._last_bytes)
             start = (self._last_bytes + data).find(_HEAD_END)
@@ -185,6 +194,20 @@
                 return b""
         return data
 
+    def _skip_body(self, data: bytes) -> bytes:
+        """Skips the body of a response to an earlier request and returns the bytes after it.
+
+        If the response was not written to its end, its body includes the beginning of the next one.
+        """
+        body, data = data[: self._skipped_body_bytes], data[self._skipped_body_bytes :]
+        self._skipped_body_bytes -= len(body)
+        if _STATUS_LINE.search(self._last_bytes + body) is not None:
+            self._fail("the body of a response to an earlier request holds another response")
+            return b""
+        self._last_bytes = b"" if not self._skipped_body_bytes else (self._last_bytes + body)[-16:]
+        super().data_received(body)
+        return data
+
     def _check_framing(self) -> None:
         payload = self._payload
         # A paused parser keeps bytes that it has not counted yet.
@@ -259,24 +282,30 @@
     ) -> Connection | None:
         """Returns an idle connection within the idle limit for a request, or None if there is none.
 
-        The connection has not carried a request with the identifier `request_id`.
+        The connection has not carried a request with the identifier `request_id`. If all have, the
+        most recently used one is closed in favour of a new one.
         """
         idle = self._conns.get(key)
         if idle is None:
             return None
         now = monotonic()
         reused: ResponseHandler | None = None
+        carried: tuple[ResponseHandler, float] | None = None  # The most recently used one.
         for index in reversed(range(len(idle))):
             protocol, idle_since = idle[index]
             if now - idle_since > min(idle_limit_s, _stated_limit_s(protocol)):
                 break  # The remaining ones have been idle for longer.
             if request_id is not None and _has_carried(protocol, request_id):
+                carried = carried or idle[index]
                 continue
             del idle[index]
             if _is_reusable(protocol):
                 reused = protocol
                 break
             protocol.close()
+        if reused is None and carried is not None:
+            idle.remove(carried)
+            carried[0].close()
         if not idle:
             del self._conns[key]
         if reused is None:
@@ -318,16 +347,16 @@
                 del self._conns[key]
         return True
 
-    def start_exchange(self, connection: Connection, request_id: str | None) -> ConnectionUse:
-        """Registers an exchange on an acquired connection; called before its request is written."""
+    def start_exchange(
+        self, connection: Connection, request_id: str | None, on_skipped: Callable[[], None]
+    ) -> ConnectionUse:
+        """Registers an exchange on an acquired connection; called before its request is written.
+
+        `on_skipped` is called for each response to an earlier request that is skipped.
+        """
         protocol = connection.protocol
         assert isinstance(protocol, _ResponseHandler)
-        return protocol.start_exchange(request_id)
-
-    @staticmethod
-    def skipped_count(protocol: ResponseHandler) -> int:
-        """Returns how many responses to earlier requests the latest exchange has skipped."""
-        return protocol.skipped_count if isinstance(protocol, _ResponseHandler) else 0
+        return protocol.start_exchange(request_id, on_skipped)
 
     def close_idle(self, key: ConnectionKey) -> None:
         """Closes all idle connections to an instance, so that the next exchange opens a new one."""
@@ -376,11 +405,26 @@
             self._cleanup_handle = self._loop.call_later(self._idle_limit_s / 4, self._cleanup)
 
 
+def _ignore_skipped() -> None:
+    pass
+
+
 def _stated_limit_s(protocol: ResponseHandler) -> float:
     """Returns the idle limit that follows from what the upstream has stated."""
     return protocol.idle_limit_s if isinstance(protocol, _ResponseHandler) else math.inf
 
 
+def _holds_two_responses(message: RawResponseMessage) -> bool:
+    """Returns whether a head has the status line of another response behind its own.
+
+    It begins with a part of a response that was not written to its end, so its status and its
+    fields need not belong to one response.
+    """
+    return _STATUS_LINE.search(message.reason.encode("latin-1", "replace")) is not None or any(
+        _STATUS_LINE.search(value) for _, value in message.raw_headers
+    )
+
+
 def _short_body_bytes(message: RawResponseMessage) -> int | None:
     """Returns the stated length of a body, or None if it is long or not stated by a length."""
     stated = _SHORT_LENGTH.fullmatch(message.headers.get(hdrs.CONTENT_LENGTH, ""))
