--- a/standins/soak/_plan.py
+++ b/standins/soak/_plan.py
@@ -131,16 +131,24 @@
     return f"{count} instances wrote rejections once more"
 
 
+async def _refuse_returning_callers(
+    deployment: Deployment, rng: Random, conditions: Conditions
+) -> int:
+    """Applies conditions for a time in which some callers keep their identifiers."""
+    instances = _share(rng, _sound_instances(deployment, rng), 0.5, 1.0)
+    deployment.repeated_id_share += _REPEATED_ID_SHARE
+    await _apply(instances, conditions, rng.uniform(3.0, 8.0))
+    deployment.repeated_id_share -= _REPEATED_ID_SHARE
+    return len(instances)
+
+
 @event("refuse")
 async def _refuse(deployment: Deployment, rng: Random) -> str:
     """Callers and hosts come back to instances that then write their refusal once more."""
     status = rng.choice((429, 503))
     conditions = Conditions(refusal_share=0.6, refusal_status=status, repeats_to_same_request=True)
-    instances = _share(rng, _sound_instances(deployment, rng), 0.5, 1.0)
-    deployment.repeated_id_share += _REPEATED_ID_SHARE
-    await _apply(instances, conditions, rng.uniform(3.0, 8.0))
-    deployment.repeated_id_share -= _REPEATED_ID_SHARE
-    return f"{len(instances)} instances refused requests with {status}, again if they came again"
+    count = await _refuse_returning_callers(deployment, rng, conditions)
+    return f"{count} instances refused requests with {status}, again if they came again"
 
 
 @event("copy")
@@ -148,11 +156,8 @@
     """Instances write refusals once more some time after them, whatever the connection carries."""
     delay_s = rng.choice((0.02, 0.05, 0.08))
     conditions = Conditions(refusal_share=0.6, copy_delay_s=delay_s)
-    instances = _share(rng, _sound_instances(deployment, rng), 0.5, 1.0)
-    deployment.repeated_id_share += _REPEATED_ID_SHARE
-    await _apply(instances, conditions, rng.uniform(3.0, 8.0))
-    deployment.repeated_id_share -= _REPEATED_ID_SHARE
-    return f"{len(instances)} instances wrote refusals once more {delay_s * 1000:.0f} ms later"
+    count = await _refuse_returning_callers(deployment, rng, conditions)
+    return f"{count} instances wrote refusals once more {delay_s * 1000:.0f} ms later"
 
 
 @event("restart")
