--- a/anviltray/upstreams/tests/test_repeated_responses.py
+++ b/anviltray/upstreams/tests/test_repeated_responses.py
@@ -58,12 +58,12 @@
         # Without an identifier it says nothing about any request.
         pytest.param(REFUSED, sending(R1), R1, 2, id="refused-without-id"),
         pytest.param(REFUSED, sending(R1), R2, 2, id="other-refused-without-id"),
-        pytest.param(REFUSED, sending(GET), R2, 2, id="nameless-refused"),
-        pytest.param(REFUSED, sending(GET), GET, 2, id="both-nameless"),
+        pytest.param(REFUSED, sending(GET), R2, 2, id="request-without-id-refused"),
+        pytest.param(REFUSED, sending(GET), GET, 2, id="both-requests-without-id"),
         pytest.param(REFUSED, probe, R2, 2, id="probe-refused"),
         # These connections are kept: nothing was refused.
         pytest.param("200 OK", sending(R1), R2, 1, id="executed"),
-        pytest.param("200 OK", sending(GET), GET, 1, id="nameless-executed"),
+        pytest.param("200 OK", sending(GET), GET, 1, id="request-without-id-executed"),
     ],
 )
 def test_repeated_response_reaches_no_request_that_it_could_belong_to(
