Put the decision on a request's head behind one admission

Client accounts, their keys and their allotted rates all decide on the head of a request before any instance is chosen. The dispatcher did this itself with the route alone, and several parts would have changed the same lines. RequestAdmission returns the route, the service, the account and the priority, or the problem to respond with; RoutingConfiguration has a place for accounts.

--- a/anviltray/declarations/__init__.py
+++ b/anviltray/declarations/__init__.py
@@ -6,6 +6,7 @@
 from anviltray.declarations._load import load_declarations, parse_declarations
 from anviltray.declarations._prefix_index import PrefixIndex
 from anviltray.declarations._routing import (
+    ClientAccount,
     Destination,
     InputLimits,
     Instance,
@@ -16,6 +17,7 @@
 
 __all__ = [
     "Change",
+    "ClientAccount",
     "Destination",
     "InputLimits",
     "Instance",
--- a/anviltray/declarations/_routing.py
+++ b/anviltray/declarations/_routing.py
@@ -23,6 +23,7 @@
     priority: int  # 0 is the most urgent.
     destinations: tuple[Destination, ...]  # At least one.
     instance_limit: int  # Maximum number of instances that one request may be sent to.
+    public: bool = False  # Whether requests need no key of a client account.
 
 
 class RoutedService(NamedTuple):
@@ -33,6 +34,16 @@
     connection_limit: int  # Maximum connections to one instance from all hosts.
 
 
+class ClientAccount(NamedTuple):
+    """A customer whose callers identify themselves with one of its keys."""
+
+    name: str  # Unique account name, passed on to instances.
+    keys: tuple[str, ...]  # Secret keys; none of them belongs to another account.
+    priority: int | None  # Used in place of the route's priority; None keeps that one.
+    rate_per_s: float  # Allotted requests per second over the whole fleet; 0 is unlimited.
+    burst: float  # Requests in addition to the rate that may be sent at once.
+
+
 class InputLimits(NamedTuple):
     """Size and time limits for the input of callers."""
 
@@ -49,6 +60,8 @@
     routes: tuple[PrefixRoute, ...]  # All routes.
     services: Mapping[str, RoutedService]  # Services by name.
     limits: InputLimits  # Limits for callers.
+    # Client accounts by name; None if the deployment has none, and requests then need no key.
+    accounts: Mapping[str, ClientAccount] | None = None
 
 
 class Instance(NamedTuple):
--- a/anviltray/edge/_call.py
+++ b/anviltray/edge/_call.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from anviltray.callers import CallerExchange, RequestBody, RequestHead
-from anviltray.declarations import PrefixRoute
+from anviltray.edge._admission import AdmittedRequest
 from anviltray.edge._clock import ElapsedClock
 
 
@@ -14,12 +14,14 @@
     __slots__ = (
         "_clock",
         "_task",
+        "account",
         "body",
         "cancellable",
         "exchange",
         "expires_s",
         "head",
         "history",
+        "priority",
         "problem",
         "received_s",
         "route",
@@ -33,20 +35,21 @@
         exchange: CallerExchange,
         head: RequestHead,
         body: RequestBody,
-        route: PrefixRoute,
-        service: str,
+        admitted: AdmittedRequest,
         clock: ElapsedClock,
         received_s: float,
     ) -> None:
         self.exchange = exchange
         self.head = head
         self.body = body
-        self.route = route
-        self.service = service
+        self.route = admitted.route
+        self.service = admitted.service
+        self.account = admitted.account
+        self.priority = admitted.priority
         self._clock = clock
         self.received_s = received_s  # Time of arrival by the clock.
         # The earlier of the caller's deadline and the route timeout set by the operator.
-        self.expires_s = self.received_s + min(head.deadline_s, route.timeout_s)
+        self.expires_s = self.received_s + min(head.deadline_s, self.route.timeout_s)
         self.history: list[dict[str, Any]] = []  # Attempts and placement inputs, for the log.
         self.problem = ""  # Name of the problem that the host responded with itself, for the log.
         self.timed_out = False
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -17,6 +17,7 @@
 from anviltray.decisions import ExchangeOutcome
 from anviltray.decisions.placement import Placed, PlacementRequest, Shed
 from anviltray.declarations import Instance
+from anviltray.edge._admission import RequestAdmission
 from anviltray.edge._attempt import AttemptRecorder, CompleteResponse, NotExecuted, OutcomeUnknown
 from anviltray.edge._call import EdgeCall
 from anviltray.edge._loans import RetryLoans
@@ -61,13 +62,9 @@
 _DEFAULT_RETRY_AFTER_S = 0.4  # Retry-After if placement gives no estimate.
 _MIN_RETRY_AFTER_S = 0.1  # Retry-After if another host can serve the request at once.
 
-_NOT_READY = Problem(
-    503, "not-ready", "the host has no configuration yet", retry_after_s=_DEFAULT_RETRY_AFTER_S
-)
 _STOPPING = Problem(
     503, "stopping", "the host is about to end", retry_after_s=_MIN_RETRY_AFTER_S, close=True
 )
-_NO_ROUTE = Problem(404, "no-route", "no route matches the request")
 _REFUSED = Problem(
     503, "refused", "no instance accepts the request now", retry_after_s=_DEFAULT_RETRY_AFTER_S
 )
@@ -101,6 +98,7 @@
         self._load_due_s = self._loop.time() + _LOAD_GRACE_S
         self.set_limits(settings)
         self._instance_header = instance_header
+        self._admission = RequestAdmission(state)
         self._response_memory = ResponseMemory(state.settings.memory_limit_bytes)
 
     def set_limits(self, settings: CallerSettings) -> None:
@@ -131,23 +129,12 @@
             if exchange.disconnected:
                 self._metrics.count("callers_left")
                 return
-        route = state.find_route(head.host, head.path)
-        if state.configuration is None or route is None:
-            problem = _NOT_READY if state.configuration is None else _NO_ROUTE
-            self._respond_problem(exchange, head, problem)
-            self._metrics.record_response("unrouted", problem.status, 0.0)
-            _log.info(
-                problem.name,
-                extra={
-                    "id": head.request_id,
-                    "status": problem.status,
-                    "version": self._configuration_version,
-                },
-            )
+        admitted = self._admission.admit(head)
+        if isinstance(admitted, Problem):
+            self._reject(exchange, head, admitted)
             return
         body = RequestBody(exchange, head.content_length, self._body_limit)
-        service = state.choose_service(route)
-        call = EdgeCall(exchange, head, body, route, service, state.clock, received_s)
+        call = EdgeCall(exchange, head, body, admitted, state.clock, received_s)
         exchange.on_disconnect = call.on_disconnect
         timer = self._loop.call_later(call.remaining_s(), call.expire)
         status = 0
@@ -173,6 +160,19 @@
             exchange.on_disconnect = None
             self._record_request(call, status)
 
+    def _reject(self, exchange: CallerExchange, head: RequestHead, problem: Problem) -> None:
+        """Responds to a request that the configuration does not admit."""
+        self._respond_problem(exchange, head, problem)
+        self._metrics.record_response("unrouted", problem.status, 0.0)
+        _log.info(
+            problem.name,
+            extra={
+                "id": head.request_id,
+                "status": problem.status,
+                "version": self._configuration_version,
+            },
+        )
+
     async def _wait_for_load(self, head: RequestHead) -> None:
         """Waits until the host has loaded its state, at most for a part of the request's time."""
         if self._load_waiters >= _MAX_LOAD_WAITERS or self._loop.time() > self._load_due_s:
@@ -275,7 +275,7 @@
             call.service,
             retryable,
             may_explore=retryable and first and self._can_explore(call.service),
-            priority=route.priority,
+            priority=call.priority,
             remaining_s=call.remaining_s(),
             target_s=route.target_latency_s,
             exclude=progress.tried_instances,
@@ -301,7 +301,7 @@
             call.service,
             retryable=False,
             may_explore=False,
-            priority=route.priority,
+            priority=call.priority,
             remaining_s=call.remaining_s(),
             target_s=route.target_latency_s,
             exclude=progress.tried_instances | {first.instance.id},
