Read the limits on allotted rates from the settings of a host

What the fleet may send of an account beyond its allotted rate is stated by a deployment as a window, an overshoot and a slack; the code that divides allotments had no access to them. They are optional, with 5 s, 0.1 and 0 as defaults, and other deployments read as before. A setting that is NaN or infinite is rejected now: NaN passed the check for negative numbers.

--- a/anviltray/platform/_host_settings.py
+++ b/anviltray/platform/_host_settings.py
@@ -1,5 +1,6 @@
 """Decodes the settings file that the platform writes for each edge host."""
 
+import math
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
@@ -57,10 +58,28 @@
             retry_slack=_parse_non_negative(bounds["retryBudgetSlack"], "retryBudgetSlack"),
             # Optional: not all deployments have a floor.
             floor_share=_parse_share(bounds.get("floorShare", "0.7"), "floorShare"),
+            **_parse_allotment_bounds(bounds),
         ),
     )
 
 
+def _parse_allotment_bounds(bounds: Mapping[str, str]) -> dict[str, float]:
+    """Returns the guarantees on allotted rates that the deployment states."""
+    names = {
+        "quotaWindowS": "allotment_window_s",
+        "quotaOvershoot": "allotment_overshoot",
+        "quotaSlack": "allotment_slack",
+    }
+    parsed = {
+        field: _parse_non_negative(bounds[name], name)
+        for name, field in names.items()
+        if name in bounds
+    }
+    if parsed.get("allotment_window_s") == 0:
+        raise ValueError("quotaWindowS must be above 0")
+    return parsed
+
+
 def _parse_bound(text: str) -> tuple[str, str]:
     name, _, value = text.partition("=")
     return name.strip(), value.strip()
@@ -98,6 +117,6 @@
         number = float(value)
     except ValueError:
         raise ValueError(f"{key} must be a number, found {value!r}") from None
-    if number < 0:
-        raise ValueError(f"{key} must not be negative, found {value!r}")
+    if not 0 <= number < math.inf:
+        raise ValueError(f"{key} must be finite and not negative, found {value!r}")
     return number
--- a/anviltray/platform/tests/test_host_settings.py
+++ b/anviltray/platform/tests/test_host_settings.py
@@ -46,6 +46,25 @@
     assert load_host_settings(path).first_start is expected
 
 
+@pytest.mark.parametrize(
+    ("bounds", "expected"),
+    [
+        ("", (5.0, 0.1, 0.0)),
+        ('"quotaSlack=20",', (5.0, 0.1, 20.0)),
+        ('"quotaWindowS=3", "quotaOvershoot=0.25", "quotaSlack=0",', (3.0, 0.25, 0.0)),
+    ],
+)
+def test_bounds_on_allotted_rates_are_optional(tmp_path, bounds, expected):
+    path = tmp_path / "node.toml"
+    path.write_text(TEXT.replace('"new=true"', bounds + '"new=true"'))
+    guarantees = load_host_settings(path).guarantees
+    assert expected == (
+        guarantees.allotment_window_s,
+        guarantees.allotment_overshoot,
+        guarantees.allotment_slack,
+    )
+
+
 @pytest.mark.parametrize(
     ("section", "expected_bytes"),
     [
@@ -71,6 +90,10 @@
         ("internalPorts = [7660, 7675]", "internalPorts = []", "index"),
         ("drainMs=2000", "drainMs=soon", "drainMs"),
         ("drainMs=2000", "drainMs=-1", "drainMs"),
+        ("drainMs=2000", "drainMs=nan", "drainMs"),
+        ("new=true", "quotaWindowS=0", "quotaWindowS"),
+        ("new=true", "quotaOvershoot=-0.1", "quotaOvershoot"),
+        ("new=true", "quotaSlack=inf", "quotaSlack"),
         ('"graceS=6",', "", "graceS"),
         ("[provider]", "[other]", "provider"),
         ("heartbeatMs = 1500", "heartbeatMs = ", ""),
--- a/anviltray/settings/_host.py
+++ b/anviltray/settings/_host.py
@@ -15,6 +15,10 @@
     retry_window_s: float  # Time window of the retry share.
     retry_slack: float  # Additional attempts per window beyond the share, over all hosts.
     floor_share: float  # Share of a service's healthy instances that are kept in use.
+    # Limits on what the fleet sends of an account beyond its allotted rate.
+    allotment_window_s: float = 5.0  # Time window in which the allotted rate is checked.
+    allotment_overshoot: float = 0.1  # Share of the allotted requests that may be sent in addition.
+    allotment_slack: float = 0.0  # Requests per window that may be sent beyond that.
 
 
 class HostSettings(NamedTuple):
