Admit requests by the keys of client accounts

A configuration may now have client accounts.

Accounts are decoded and validated in platform/_accounts.py: what could change who is admitted makes the configuration invalid, so that the one in force stays; what can identify nobody is left out with a log line. decisions/accounts has the index of keys, as digests under a secret of the process, and takes over the digests of unchanged accounts from the version before. More than 500 accounts are indexed in steps between requests, and routes, accounts and limits take effect at the same moment. The admission rejects requests without exactly one known key with 401, sets the account's name, never passes Authorization on while accounts are in force, and decides again before the first send of a request that has waited. Without accounts, both headers pass as before.

Representations of accounts, heads and admitted requests show no keys.

--- a/anviltray/callers/_head.py
+++ b/anviltray/callers/_head.py
@@ -18,6 +18,7 @@
 
 _CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 _HANDLED_HEADERS = frozenset({b"expect", b"host", b"content-length"})
+_AUTHORIZATION_HEADER = b"authorization"
 
 
 class CallerHeaders(NamedTuple):
@@ -25,6 +26,9 @@
 
     request_id: bytes = REQUEST_ID_HEADER  # Identifier of the request.
     deadline_ms: bytes = DEADLINE_HEADER  # Deadline in milliseconds from now.
+    # Name of the caller's account. Empty if the configuration never has accounts; this header and
+    # Authorization are then ordinary ones.
+    account: bytes = b""
 
 
 class RequestHead(NamedTuple):
@@ -39,6 +43,17 @@
     request_id: str | None  # Request identifier, if the caller sent one.
     deadline_s: float  # Seconds for which the caller waits.
     forwarded: bool  # Whether another node forwarded the request.
+    # Authorization and account headers as received; none of them is in `headers`.
+    account_headers: tuple[tuple[str, str], ...] = ()
+
+    def __repr__(self) -> str:
+        """Returns a representation without header values, since they may contain secrets."""
+        return f"RequestHead({self.method!r}, {self.host!r}, {self.path!r}, {self.request_id!r})"
+
+    @property
+    def authorization(self) -> list[str]:
+        """Values of the Authorization headers among `account_headers`."""
+        return [value for name, value in self.account_headers if name == "authorization"]
 
 
 class HeadReader:
@@ -52,8 +67,15 @@
     ) -> None:
         self._headers = headers
         node_headers = frozenset({*headers, FORWARDED_HEADER})
+        self._account_headers = (
+            frozenset({headers.account, _AUTHORIZATION_HEADER}) if headers.account else frozenset()
+        )
         self._filtered_headers = (
-            HOP_BY_HOP | node_headers | _HANDLED_HEADERS | dialect.reserved_request_headers
+            HOP_BY_HOP
+            | node_headers
+            | self._account_headers
+            | _HANDLED_HEADERS
+            | dialect.reserved_request_headers
         )
         self._body_limit = settings.body_limit_bytes
         self._default_deadline_s = settings.default_deadline_s
@@ -82,6 +104,7 @@
         request_id: str | None = None
         deadline_s = self._default_deadline_s
         forwarded = False
+        account_headers: list[tuple[str, str]] = []
         removed: frozenset[bytes] = frozenset()
         for name, value in filtered:
             if name == b"host":
@@ -102,6 +125,8 @@
                 deadline_s = _deadline_s(name, value)
             elif name == self._headers.request_id:
                 request_id = _request_id(name, value, request_id)
+            elif name in self._account_headers:
+                account_headers.append((name.decode("ascii"), value.decode()))
             elif name == FORWARDED_HEADER:
                 forwarded = True
         if not host:
@@ -109,6 +134,9 @@
         headers.append(("Host", host.decode()))
         if removed:
             headers = [field for field in headers if field[0].encode() not in removed]
+            account_headers = [
+                field for field in account_headers if field[0].encode() not in removed
+            ]
         raw_path, query = scope["raw_path"], scope["query_string"]
         if b"%" in raw_path or b"/." in raw_path or b"\\" in raw_path:
             _check_path(raw_path, scope["path"])
@@ -123,6 +151,7 @@
             request_id,
             deadline_s,
             forwarded,
+            tuple(account_headers),
         )
 
     def _length(self, value: bytes) -> int:
--- a/anviltray/callers/_problems.py
+++ b/anviltray/callers/_problems.py
@@ -18,6 +18,7 @@
     outcome: Outcome = "not-run"  # Whether the request was run.
     retry_after_s: float | None = None  # Retry-After in seconds.
     close: bool = False  # Whether the connection must be closed afterwards.
+    challenge: str | None = None  # WWW-Authenticate, required with status 401.
 
 
 class InputError(Exception):
@@ -51,4 +52,6 @@
     ]
     if problem.retry_after_s is not None:
         headers.append((b"retry-after", f"{problem.retry_after_s:g}".encode()))
+    if problem.challenge is not None:
+        headers.append((b"www-authenticate", problem.challenge.encode()))
     return headers
--- a/anviltray/declarations/_routing.py
+++ b/anviltray/declarations/_routing.py
@@ -43,6 +43,10 @@
     rate_per_s: float  # Allotted requests per second over the whole fleet; 0 is unlimited.
     burst: float  # Requests in addition to the rate that may be sent at once.
 
+    def __repr__(self) -> str:
+        """Returns a representation without the keys, for logs and errors."""
+        return f"ClientAccount({self.name!r}, {len(self.keys)} keys)"
+
 
 class InputLimits(NamedTuple):
     """Size and time limits for the input of callers."""
@@ -62,6 +66,7 @@
     limits: InputLimits  # Limits for callers.
     # Client accounts by name; None if the deployment has none, and requests then need no key.
     accounts: Mapping[str, ClientAccount] | None = None
+    omissions: tuple[str, ...] = ()  # What was left out of the document, one line each, for logs.
 
 
 class Instance(NamedTuple):
--- a/anviltray/edge/_call.py
+++ b/anviltray/edge/_call.py
@@ -15,6 +15,7 @@
         "_clock",
         "_task",
         "account",
+        "admitted",
         "body",
         "cancellable",
         "exchange",
@@ -42,10 +43,7 @@
         self.exchange = exchange
         self.head = head
         self.body = body
-        self.route = admitted.route
-        self.service = admitted.service
-        self.account = admitted.account
-        self.priority = admitted.priority
+        self.set_admitted(admitted)
         self._clock = clock
         self.received_s = received_s  # Time of arrival by the clock.
         # The earlier of the caller's deadline and the route timeout set by the operator.
@@ -58,6 +56,14 @@
         self.cancellable = True
         self._task = asyncio.current_task()
 
+    def set_admitted(self, admitted: AdmittedRequest) -> None:
+        """Applies what the configuration says about the request, also when it has changed."""
+        self.admitted = admitted
+        self.route = admitted.route
+        self.service = admitted.service
+        self.account = admitted.account
+        self.priority = admitted.priority
+
     def elapsed_s(self) -> float:
         """Returns the time since the request was received, in seconds."""
         return self._clock.now_s() - self.received_s
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -87,8 +87,9 @@
         settings: CallerSettings,
         caller_headers: CallerHeaders,
         instance_header: str,
+        account_header: str,
     ) -> None:
-        """`instance_header` is the name of the header with the only instance that may respond."""
+        """The headers name the only instance that may respond, and the account of the caller."""
         self._state = state
         self._loans = loans
         self._metrics = metrics
@@ -98,7 +99,7 @@
         self._load_due_s = self._loop.time() + _LOAD_GRACE_S
         self.set_limits(settings)
         self._instance_header = instance_header
-        self._admission = RequestAdmission(state)
+        self._admission = RequestAdmission(state, metrics.count, account_header)
         self._response_memory = ResponseMemory(state.settings.memory_limit_bytes)
 
     def set_limits(self, settings: CallerSettings) -> None:
@@ -164,14 +165,7 @@
         """Responds to a request that the configuration does not admit."""
         self._respond_problem(exchange, head, problem)
         self._metrics.record_response("unrouted", problem.status, 0.0)
-        _log.info(
-            problem.name,
-            extra={
-                "id": head.request_id,
-                "status": problem.status,
-                "version": self._configuration_version,
-            },
-        )
+        self._admission.log_rejection(head, problem)
 
     async def _wait_for_load(self, head: RequestHead) -> None:
         """Waits until the host has loaded its state, at most for a part of the request's time."""
@@ -246,6 +240,11 @@
         progress = RequestProgress(_REFUSED)
         # Timers are late after a suspension of the host, so each attempt checks the time.
         while call.remaining_s() > 0:
+            if not call.sent:
+                admitted = self._admission.renew(call.head, call.admitted)
+                if isinstance(admitted, Problem):
+                    return self._end_with_problem(call, admitted)
+                call.set_admitted(admitted)
             placed = self._choose_instance(call, progress)
             if isinstance(placed, Shed):
                 call.history.append({"shed": placed._asdict()})
@@ -476,6 +475,7 @@
             remaining_s, head.request_id
         )
         headers.append((self._instance_header, placed.instance.id))
+        headers.extend(call.admitted.account_headers)
         source = body.source()
         if source is not None and not isinstance(source, bytes) and not body.chunked:
             headers.append(("Content-Length", str(body.length)))
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -13,6 +13,7 @@
 
 from anviltray.callers import CallerHeaders, bind, protocol_class, serve, serve_internal
 from anviltray.declarations import RoutingConfiguration
+from anviltray.edge._activation import ConfigurationActivation
 from anviltray.edge._dispatcher import EdgeDispatcher
 from anviltray.edge._loans import RetryLoans
 from anviltray.edge._metrics import EdgeMetrics
@@ -103,9 +104,12 @@
             self.metrics,
             self._protocol.caller_settings,
             CallerHeaders(
-                names.REQUEST_ID_HEADER.lower().encode(), names.DEADLINE_HEADER.lower().encode()
+                names.REQUEST_ID_HEADER.lower().encode(),
+                names.DEADLINE_HEADER.lower().encode(),
+                names.ACCOUNT_HEADER.lower().encode(),
             ),
             names.EXPECTED_INSTANCE_HEADER,
+            names.ACCOUNT_HEADER,
         )
         self._slack_timer: asyncio.TimerHandle | None = None
         self._serving_zone = ServingZone(self.state, self.exchange)
@@ -125,8 +129,9 @@
         self.exchange.register_handler(ZoneBeliefs, self._handle_beliefs)
         self.exchange.register_handler(ZoneLoads, self._handle_loads)
         self.exchange.subscribe_to_lost_hosts(self.state.health_tracker.remove_peer)
-        self.follower.subscribe_to_configurations(self._apply_configuration)
-        self.follower.subscribe_to_load(self.state.loaded.set)
+        self._activation = ConfigurationActivation(self.state, self._on_configuration)
+        self.follower.subscribe_to_configurations(self._activation.start)
+        self.follower.subscribe_to_load(self._set_loaded)
 
     async def start(self) -> None:
         """Binds all addresses and starts the tasks; raises OSError if an address is in use."""
@@ -148,7 +153,7 @@
                 self.entry_addresses, self.not_ready_reasons, _ADDRESS_LIST_LIFETIME_S, self.metrics
             ),
             ReadinessResource(self.not_ready_reasons),
-            SnapshotResource(self.follower.snapshot),
+            SnapshotResource(self.follower.snapshot, settings.first_internal_port),
             MetricsResource(self.metrics),
         )
         self._serving = [
@@ -217,6 +222,7 @@
             self._slack_timer.cancel()
         self._stop_callers.set()
         self._stop_internal.set()
+        self._activation.cancel()
         for task in (*self._tasks, *self._serving):
             task.cancel()
         await asyncio.gather(*self._tasks, *self._serving, return_exceptions=True)
@@ -244,7 +250,7 @@
             reasons.append("the host is stopping")
         if not self._listening:
             reasons.append("the host is starting")
-        if not self.follower.loaded:
+        if not self.follower.loaded or self.state.configuration is None:
             reasons.append("the configuration or the instances are unknown")
         return tuple(reasons)
 
@@ -260,8 +266,11 @@
     def _on_listening(self) -> None:
         self._listening = True
 
-    def _apply_configuration(self, configuration: RoutingConfiguration) -> None:
-        self.state.configure(configuration)
+    def _set_loaded(self) -> None:
+        if self.follower.loaded and self.state.configuration is not None:
+            self.state.loaded.set()
+
+    def _on_configuration(self, configuration: RoutingConfiguration) -> None:
         limits = configuration.limits
         settings = build_caller_settings(
             {
@@ -275,6 +284,7 @@
         self._protocol.caller_settings = settings
         self._dispatcher.set_limits(settings)
         self.state.set_fleet_size(len(self.exchange.hosts.localities()))
+        self._set_loaded()
 
     def _create_beacon(self, answer: bool) -> HostBeacon:
         self._sequence += 1
--- a/anviltray/edge/_resources.py
+++ b/anviltray/edge/_resources.py
@@ -74,13 +74,20 @@
 
 
 class SnapshotResource:
-    """Serves a snapshot of the store state to other hosts of the zone."""
+    """Serves a snapshot of the store state to other hosts of the zone.
 
-    def __init__(self, snapshot: Callable[[], StoreSnapshot]) -> None:
+    It contains the keys of client accounts, so it is not available at the addresses for callers.
+    """
+
+    def __init__(self, snapshot: Callable[[], StoreSnapshot], port: int) -> None:
+        """`port` is the port for traffic between hosts."""
         self._snapshot = snapshot
+        self._port = port
 
     async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
-        """Responds with an encoded StoreSnapshot."""
+        """Responds with an encoded StoreSnapshot, at other ports with status 404."""
+        if request.scope["server"][1] != self._port:
+            raise falcon.HTTPNotFound
         response.content_type = "application/cbor"
         response.set_header("Content-Encoding", SNAPSHOT_CODING)
         response.data = encode_snapshot(self._snapshot())
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -1,8 +1,10 @@
 """State that the request path of an edge host uses."""
 
 import asyncio
+import secrets
 from random import Random
 
+from anviltray.decisions.accounts import AccountIndex
 from anviltray.decisions.instances import InstanceDirectory
 from anviltray.decisions.placement import (
     HealthTracker,
@@ -32,6 +34,7 @@
 _MIN_RETRIES = 0
 # Retries that exploration leaves in the budget for requests that an instance has refused.
 _EXPLORATION_RESERVE = 2.0
+_KEY_SECRET_BYTES = 32  # Secret of the digests of keys; new in each process.
 
 
 class EdgeState:
@@ -54,6 +57,9 @@
         self.response_times = ResponseTimes()
         self.unserved = UnservedShare()
         self.configuration: RoutingConfiguration | None = None
+        self.accounts: AccountIndex | None = None  # None if the configuration has no accounts.
+        # The last index of accounts, also when the configuration in force has none.
+        self.account_index = AccountIndex(secrets.token_bytes(_KEY_SECRET_BYTES))
         self.loaded = asyncio.Event()  # The configuration and the instances are known.
         self.shutting_down = False
         self.accepts_requests = True  # False late in the grace period of a shutdown.
@@ -67,9 +73,14 @@
         self._service_choices: dict[str, WeightedChoice] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
-    def configure(self, configuration: RoutingConfiguration) -> None:
-        """Applies a configuration."""
+    def configure(
+        self, configuration: RoutingConfiguration, accounts: AccountIndex | None = None
+    ) -> None:
+        """Applies a configuration; `accounts` is the index of its accounts, if it has any."""
         self.configuration = configuration
+        self.accounts = accounts
+        if accounts is not None:
+            self.account_index = accounts
         self._divide_connections()
         self._routes = PrefixIndex(configuration.routes)
         previous = self._service_choices
--- a/anviltray/edge/tests/support.py
+++ b/anviltray/edge/tests/support.py
@@ -99,8 +99,11 @@
     }
 
 
-def configuration(version=1, routes=None):
-    """Returns the record of a configuration with the routes /level/ (idempotent) and /order/."""
+def configuration(version=1, routes=None, accounts=None):
+    """Returns the record of a configuration with the routes /level/ (idempotent) and /order/.
+
+    `accounts` are the entries of client accounts; without it, the deployment has none.
+    """
     services = [
         {"name": name, "healthPath": "/health", "maxConns": 390, "protocol": "h1", "tls": False}
         for name in ("keeper", "supply")
@@ -113,6 +116,8 @@
     }
     routes = routes or [route("level", "safe"), route("order", "unsafe")]
     document = {"version": f"r{version}", "routes": routes, "services": services, "limits": limits}
+    if accounts is not None:
+        document["tenants"] = accounts
     return json.dumps(document).encode()
 
 
--- a/anviltray/platform/_documents.py
+++ b/anviltray/platform/_documents.py
@@ -13,6 +13,7 @@
     RoutedService,
     RoutingConfiguration,
 )
+from anviltray.platform._accounts import decode_accounts
 
 # Larger numbers come from writers that are no instances. Integers in messages have 64 bits.
 _MAX_INTEGER = 2**63 - 1
@@ -38,6 +39,10 @@
     try:
         services = [_decode_service(item) for item in document["services"]]
         limits = document["limits"]
+        # Without the field, the deployment has no accounts; an empty list admits nobody.
+        accounts, omissions = (
+            decode_accounts(document["tenants"]) if "tenants" in document else (None, ())
+        )
         return RoutingConfiguration(
             version=decode_version(document["version"]),
             routes=tuple(_decode_route(item) for item in document["routes"]),
@@ -48,6 +53,8 @@
                 header_timeout_s=float(limits["headerTimeoutMs"]) / 1000,
                 idle_timeout_s=float(limits["idleTimeoutMs"]) / 1000,
             ),
+            accounts=accounts,
+            omissions=omissions,
         )
     except (LookupError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise DocumentInvalid(f"configuration: {error}") from error
@@ -71,6 +78,7 @@
         priority=int(item["priority"]),
         destinations=tuple(part for part in destinations if part.weight > 0),
         instance_limit=int(item["maxAttempts"]),
+        public=_get_flag(item, "public"),
     )
 
 
@@ -131,6 +139,13 @@
     return value
 
 
+def _get_flag(item: Mapping[str, Any], name: str) -> bool:
+    value = item.get(name, False)
+    if type(value) is not bool:
+        raise DocumentInvalid(f"{name!r} must be true or false")
+    return value
+
+
 def _get_integer(
     item: Mapping[str, Any], name: str, maximum: int, minimum: int = -_MAX_INTEGER
 ) -> int:
--- a/anviltray/platform/_names.py
+++ b/anviltray/platform/_names.py
@@ -7,6 +7,7 @@
 DEADLINE_HEADER = "Deadline-Ms"
 EXPECTED_INSTANCE_HEADER = "Expect-Instance"
 NOT_EXECUTED_HEADER = "Not-Executed"
+ACCOUNT_HEADER = "Tenant"  # Name of the client account; set by the host, whatever the caller sent.
 SEAL_HEADER = "Response-Seal"  # Proves that the response comes from the instance.
 # Requests per second that the instance takes from all hosts together; in responses while it lasts.
 LIMIT_HEADER = "Server-Limit"
