--- a/anviltray/edge/_activation.py
+++ b/anviltray/edge/_activation.py
@@ -16,10 +16,12 @@
 
 
 class ConfigurationActivation:
-    """Activates configurations in the order of their versions; the newest one replaces the others.
+    """Activates configurations in the order of their versions.
 
-    Routes, accounts and limits of one version take effect at the same moment. A configuration with
-    up to 500 accounts takes effect at once.
+    Routes, accounts and limits of one version take effect at the same moment; fewer than 500
+    accounts need no pause. An activation is completed before the next one begins, as versions that
+    follow each other quickly would otherwise keep any from taking effect; those in between are
+    skipped.
     """
 
     def __init__(self, state: EdgeState, on_active: Callable[[RoutingConfiguration], None]) -> None:
@@ -27,10 +29,13 @@
         self._state = state
         self._on_active = on_active
         self._task: asyncio.Task[None] | None = None
+        self._next: RoutingConfiguration | None = None  # Newest one that has arrived meanwhile.
 
     def start(self, configuration: RoutingConfiguration) -> None:
         """Begins to activate a configuration that is newer than all before."""
-        self.cancel()
+        if self._task is not None:
+            self._next = configuration
+            return
         accounts = configuration.accounts
         if accounts is None:
             self._activate(configuration, None)
@@ -43,9 +48,9 @@
 
     def cancel(self) -> None:
         """Ends an activation that has not completed."""
+        self._next = None
         if self._task is not None:
             self._task.cancel()
-            self._task = None
 
     async def _index(self, configuration: RoutingConfiguration, indexer: AccountIndexer) -> None:
         complete = False
@@ -56,6 +61,11 @@
             self._activate(configuration, indexer)
         except Exception:
             _log.exception("configuration {} is not activated", configuration.version)
+        finally:
+            self._task = None
+            if self._next is not None:
+                following, self._next = self._next, None
+                self.start(following)
 
     def _activate(
         self, configuration: RoutingConfiguration, indexer: AccountIndexer | None
--- a/anviltray/edge/tests/test_accounts.py
+++ b/anviltray/edge/tests/test_accounts.py
@@ -204,15 +204,39 @@
     run(tmp_path, test, respond(), respond())
 
 
-def test_request_that_has_been_sent_is_completed(tmp_path):
+@pytest.mark.parametrize(("line", "then"), [("POST /order/1", respond()), ("GET /level/1", reset)])
+def test_request_that_has_been_sent_is_completed(tmp_path, line, then):
+    """A safe request is sent again for the account that it was admitted for."""
+    withdrawn = asyncio.Event()
+
+    async def wait(request, writer):
+        await withdrawn.wait()
+        return await then(request, writer)
+
     async def test(fleet):
         async with Connection(fleet) as connection:
-            connection.send("POST /order/1", BEARER)
+            connection.send(line, BEARER)
             await fleet.until(lambda: fleet.received() == 1)
             await put_in_force(fleet, 3, ACCOUNTS[1:])
+            withdrawn.set()
             assert (await connection.response()).status == 200
+        received = [each.headers for instance in fleet.instances for each in instance.requests]
+        assert {each["tenant"] for each in received} == {"acme"}
+
+    either_first = in_turn(wait, respond())
+    run(tmp_path, test, either_first, either_first)
+
 
-    run(tmp_path, test, respond(after_s=0.5))
+def test_fields_after_a_body_name_no_account(tmp_path):
+    async def test(fleet):
+        async with Connection(fleet) as connection:
+            body = "2\r\nab\r\n0\r\nTenant: brisk\r\nX-A: 1\r\n\r\n"
+            connection.send("POST /order/1", BEARER, "Transfer-Encoding: chunked", body=body)
+            assert (await connection.response()).status == 200
+        (received,) = fleet.instances[0].requests
+        assert (received.headers["tenant"], received.body) == ("acme", b"ab")
+
+    run(tmp_path, test)
 
 
 @pytest.mark.parametrize("handlers", [(reset, respond()), (respond(after_s=1.2), respond())])
@@ -328,24 +352,22 @@
     assert run(tmp_path, test).count("2 API keys that no header can carry are left out") == 1
 
 
-def test_many_accounts_take_effect_without_blocking_and_the_newest_version_wins(
-    tmp_path, monkeypatch
-):
+def test_many_accounts_take_effect_in_steps_while_versions_follow_each_other(tmp_path, monkeypatch):
     monkeypatch.setattr(_activation, "_STEP_ACCOUNTS", 1)
     many = [{"name": f"a{number}", "apiKeys": [f"k{number}"]} for number in range(300)]
 
     async def test(fleet):
         state, follower = fleet.hosts[0].state, fleet.hosts[0].follower
-        for version, accounts in ((3, many), (4, [*many, *ACCOUNTS])):
+        for version, accounts in ((3, many), (4, []), (5, [*many, *ACCOUNTS])):
             record = configuration(version, ROUTES, accounts)
             follower._apply_configuration(record, "store")
         assert (state.configuration.version, len(state.accounts)) == (2, 2)
         assert (await call(fleet, "GET /level/1", BEARER)).status == 200
-        await fleet.until(lambda: state.configuration.version == 4)
+        await fleet.until(lambda: state.configuration.version == 5)
         assert len(state.accounts) == 302
         assert (await call(fleet, "GET /level/1", BEARER)).status == 200
 
-    assert "'version': 3" not in run(tmp_path, test)
+    assert "'version': 4" not in run(tmp_path, test)
 
 
 def test_representations_contain_no_key(tmp_path):
--- a/anviltray/platform/_host_settings.py
+++ b/anviltray/platform/_host_settings.py
@@ -47,6 +47,7 @@
         heartbeat_s=_parse_non_negative(document["heartbeatMs"], "heartbeatMs") / 1000,
         first_start=document.get("bootstrap", False) is True,
         memory_limit_bytes=_parse_memory_limit(document.get("limits", {})),
+        processor_share=_parse_processor_share(document.get("limits", {})),
         guarantees=Guarantees(
             answer_lifetime_s=_parse_non_negative(bounds["ttl_max_s"], "ttl_max_s"),
             drain_s=_parse_non_negative(bounds["drainMs"], "drainMs") / 1000,
@@ -105,6 +106,10 @@
     return int((limit_mb or _DEFAULT_MEMORY_MB) * 1_000_000)
 
 
+def _parse_processor_share(limits: Mapping[str, Any]) -> float:
+    return _parse_non_negative(limits.get("cpuShare", 1.0), "cpuShare") or 1.0
+
+
 def _parse_share(value: Any, key: str) -> float:
     share = _parse_non_negative(value, key)
     if share > 1:
--- a/anviltray/platform/tests/test_host_settings.py
+++ b/anviltray/platform/tests/test_host_settings.py
@@ -80,6 +80,16 @@
     assert load_host_settings(path).memory_limit_bytes == expected_bytes
 
 
+@pytest.mark.parametrize(
+    ("section", "expected"),
+    [("", 1.0), ("[limits]\ncpuShare = 0.43", 0.43), ("[limits]\ncpuShare = 0", 1.0)],
+)
+def test_processor_share_is_read(tmp_path, section, expected):
+    path = tmp_path / "node.toml"
+    path.write_text(TEXT + section)
+    assert load_host_settings(path).processor_share == expected
+
+
 @pytest.mark.parametrize(
     ("old", "new", "named"),
     [
--- a/anviltray/settings/_host.py
+++ b/anviltray/settings/_host.py
@@ -39,3 +39,4 @@
     first_start: bool  # Whether the whole fleet starts for the first time.
     memory_limit_bytes: int  # Memory above which the platform kills the process.
     guarantees: Guarantees  # Guarantees of the fleet.
+    processor_share: float = 1.0  # Share of one processor core that the process may use.
