Let requests wait at their host while no instance has room

Cause: a request was placed in the queue of an instance or rejected at once, by its own expected time only. Instances with two or three slots rejected what their queue did not hold; long requests with long targets took the room of urgent ones; an account got what it sent.

Change: decisions/waiting decides for each service how much load an instance may have when it gets a request, who may use its queue during a shortage, which requests wait at the host and in which order, and when rejected callers return. edge/_waiting.py wakes them on responses of the host's own requests and on reports of requests in flight; no new message. See docs/design/host-queue.md.

--- a/anviltray/decisions/placement/_evidence.py
+++ b/anviltray/decisions/placement/_evidence.py
@@ -224,6 +224,8 @@
         self._belief_reports: dict[str, _ZoneReport] = {}
         self._load_reports: dict[str, _ZoneReport] = {}
         self.urgent = False  # Whether there is unreported evidence against an instance.
+        # Called with an instance when another host has reported that a request there has ended.
+        self.on_room: Callable[[str], None] = lambda instance: None
 
     def health(self, instance: str) -> InstanceHealth:
         """Returns the health of an instance and starts to track it if needed."""
@@ -354,12 +356,16 @@
         self, now_s: float, host: str, observations: Iterable[InstanceObservation]
     ) -> None:
         """Merges the observations of another host of the zone."""
+        freed = []
         for observation in observations:
             health = self.health(observation.instance)
             reset_evidence = observation.log_likelihood_ratio
             error_evidence = observation.error_log_likelihood_ratio
-            if observation.outstanding > health.peer_outstanding_of(host):
+            previous = health.peer_outstanding_of(host)
+            if observation.outstanding > previous:
                 health.last_used_s = now_s
+            elif observation.outstanding < previous:
+                freed.append(observation.instance)
             health.set_peer(host, observation.outstanding)
             if reset_evidence or error_evidence:
                 health.add_evidence(now_s, reset_evidence, error_evidence)
@@ -369,6 +375,8 @@
                 self._set_limit(now_s, observation.instance, observation.limit_per_s)
             if health.rate_limit is not None and observation.requests > 0:
                 health.rate_limit.on_requests(now_s, observation.requests)
+        for instance in freed:
+            self.on_room(instance)
 
     def beliefs(
         self, now_s: float, instances: Iterable[str], receiver: str
@@ -440,7 +448,11 @@
         for belief in beliefs:
             self.health(belief.instance).on_zone_belief(now_s, belief)
             outstanding[belief.instance] = belief.outstanding
+        previous = {key: self.health(key).zone_outstanding for key in outstanding}
         self._set_zone(self._belief_reports, now_s, zone, outstanding)
+        for key, count in previous.items():
+            if self.health(key).zone_outstanding < count:
+                self.on_room(key)
 
     def remove_peer(self, host: str) -> None:
         """Drops the requests in flight from a host that has stopped or is unreachable."""
--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -90,6 +90,8 @@
     first_attempt: bool = False  # Whether it has not been sent to any instance yet.
     unserved_share: float = 0.0  # Share of the service's recent requests that were not served.
     unrepeatable: bool = False  # Whether it must not run twice, whatever attempts are left.
+    # Requests per slot above which it does not go to an instance. It then explores or is shed.
+    max_load: float = math.inf
 
 
 class Placed(NamedTuple):
@@ -204,7 +206,7 @@
             request.target_s * _TARGET_FACTORS[priority],
         )
         expected_s = self._expected_s(request.service, best.load, allowed_s)
-        if expected_s > allowed_s:
+        if expected_s > allowed_s or best.load > request.max_load:
             exploration = _Exploration(_forced_interval_s(request, _SHED_EXPLORE_INTERVAL_S))
             explored = self._explore(now_s, request, tiers[0], exploration)
             if explored is not None:
--- a/anviltray/edge/_attempts.py
+++ b/anviltray/edge/_attempts.py
@@ -13,6 +13,7 @@
 from anviltray.edge._progress import AttemptResult, is_success
 from anviltray.edge._response_buffer import ResponseBuffer, ResponseMemory
 from anviltray.edge._state import EdgeState
+from anviltray.edge._waiting import InstanceWaits
 from anviltray.platform import decode_statements, is_promise
 from anviltray.upstreams import (
     MISDIRECTED,
@@ -35,9 +36,12 @@
     was streamed to the caller.
     """
 
-    def __init__(self, state: EdgeState, metrics: EdgeMetrics, instance_header: str) -> None:
+    def __init__(
+        self, state: EdgeState, waits: InstanceWaits, metrics: EdgeMetrics, instance_header: str
+    ) -> None:
         """`instance_header` is the name of the header with the only instance that may respond."""
         self._state = state
+        self._waits = waits
         self._metrics = metrics
         self._instance_header = instance_header
         self._loop = asyncio.get_running_loop()
@@ -51,6 +55,7 @@
         recorder.on_evidence = state.urgent.set
         entry = recorder.placement_fields()
         call.history.append(entry)
+        self._waits.on_attempt_started(call.service)
         try:
             result = await self._exchange(call, recorder)
         except asyncio.CancelledError:
@@ -75,6 +80,7 @@
             if recorder.skipped_count:
                 self._metrics.count("skipped_responses")
             entry |= recorder.exchange_fields()
+            self._waits.on_attempt_ended(call.service)
         entry["result"] = (
             result.status
             if isinstance(result, CompleteResponse)
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -1,6 +1,8 @@
 """Proxies caller requests: routing, instance selection, retries and the response."""
 
 import asyncio
+from functools import partial
+from random import Random
 
 import logbook
 
@@ -28,6 +30,7 @@
     is_success,
 )
 from anviltray.edge._state import EdgeState
+from anviltray.edge._waiting import InstanceWaits
 from anviltray.settings import CallerSettings
 
 _log = logbook.Logger("anviltray.requests")
@@ -85,7 +88,8 @@
         self._load_due_s = self._loop.time() + _LOAD_GRACE_S
         self.set_limits(settings)
         self._admission = RequestAdmission(state)
-        self._attempts = InstanceAttempts(state, metrics, instance_header)
+        self._waits = InstanceWaits(state, metrics, Random())
+        self._attempts = InstanceAttempts(state, self._waits, metrics, instance_header)
 
     def set_limits(self, settings: CallerSettings) -> None:
         """Applies the size limits and timeouts for requests."""
@@ -93,6 +97,10 @@
         self._reader = HeadReader(settings, dialect, self._caller_headers)
         self._body_limit = settings.body_limit_bytes
 
+    def keep_services(self, services: frozenset[str]) -> None:
+        """Drops what is kept for services that no longer exist."""
+        self._waits.keep_only(services)
+
     async def __call__(self, scope: object, receive: object, send: object) -> None:
         """Serves one request."""
         exchange: CallerExchange = scope["anviltray.exchange"]  # type: ignore[index]
@@ -232,7 +240,7 @@
         progress = RequestProgress(_REFUSED)
         # Timers are late after a suspension of the host, so each attempt checks the time.
         while call.remaining_s() > 0:
-            placed = self._choose_instance(call, progress)
+            placed = await self._waits.place(call, partial(self._choose_instance, call, progress))
             if isinstance(placed, Shed):
                 call.history.append({"shed": placed._asdict()})
                 retry_after_s = round(placed.retry_after_s, 2)
@@ -252,7 +260,9 @@
         problem = _UPSTREAM_FAILED if progress.may_have_executed else progress.problem
         return self._end_with_problem(call, problem)
 
-    def _choose_instance(self, call: EdgeCall, progress: RequestProgress) -> Placed | Shed:
+    def _choose_instance(
+        self, call: EdgeCall, progress: RequestProgress, max_load: float
+    ) -> Placed | Shed:
         state, route = self._state, call.route
         now_s = self._loop.time()
         first = progress.attempts == 0
@@ -268,6 +278,7 @@
             first_attempt=first,
             unserved_share=state.unserved.share(now_s, call.service),
             unrepeatable=not route.idempotent,
+            max_load=max_load,
         )
         return state.placement.choose(now_s, request, state.directory.usable(call.service))
 
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -262,6 +262,7 @@
 
     def _apply_configuration(self, configuration: RoutingConfiguration) -> None:
         self.state.configure(configuration)
+        self._dispatcher.keep_services(frozenset(configuration.services))
         limits = configuration.limits
         settings = build_caller_settings(
             {
@@ -338,6 +339,7 @@
             targets = (self._rng.choice(peers),) if peers else self.settings.seed_addresses
             self.exchange.request_hosts(targets)
             self.state.set_fleet_size(len(self.exchange.hosts.localities()))
+            self.state.serving_hosts = 1 + len(self._serving_zone.receivers())
 
     async def _send_zone_reports(self) -> None:
         health_tracker = self.state.health_tracker
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -1,6 +1,7 @@
 """State that the request path of an edge host uses."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 from anviltray.decisions.instances import InstanceDirectory
@@ -62,6 +63,9 @@
         self._routes = PrefixIndex()
         self._rng = rng
         self.fleet_size = 1  # Known hosts of the fleet, including this one.
+        # What a client account is owed of a service that is short of room, relative to the others.
+        self.account_weight: Callable[[str], float] = lambda account: 1.0
+        self.serving_hosts = 1  # Hosts of the zone that have callers, including this one.
         self._slack = 0.0  # This host's part of the fleet's retry slack.
         self._slack_enabled = False
         self._service_choices: dict[str, WeightedChoice] = {}
