Let the soak replace the keys of client accounts

Two rules check that instances get the account of the key and never the key, and that hosts in touch follow a change within 2 s.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -27,6 +27,7 @@
     interval: float = 4.0,
     hosts_per_zone: int = 12,
     few_instances: bool = False,
+    accounts: int = 0,
     kinds: list[str] | None = None,
     logs: Path | None = None,
 ) -> int:
@@ -38,6 +39,7 @@
     :param interval: Mean number of seconds between two disturbances.
     :param hosts_per_zone: Edge hosts in each of the four availability zones.
     :param few_instances: Have fewer and faster instances, whose connections carry more requests.
+    :param accounts: Client accounts, whose keys are replaced every few seconds.
     :param kinds: Kinds of disturbances; all by default.
     :param logs: Directory in which the logs of the hosts are kept, one directory for each seed.
     """
@@ -45,7 +47,7 @@
     if unknown:
         print(f"unknown kinds: {', '.join(sorted(unknown))}; known: {', '.join(EVENTS)}")
         return 2
-    topology = Topology(hosts_per_zone)
+    topology = Topology(hosts_per_zone, accounts=accounts)
     if few_instances:
         topology = topology._replace(instances=FEW_INSTANCES, work_s=FEW_INSTANCES_WORK_S)
     failed = 0
--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -81,11 +81,14 @@
         now_s = self._deployment.now_s
         ends_s = now_s() + kind.timeout_s
         number, host = self._next_number(), self._rng.choice(self._addresses)
+        key = self._deployment.accounts.choose_key(self._rng)
         for _ in range(_MAX_RETRIES + 1):
             left_s = ends_s - now_s()
             if left_s <= 0:
                 return
-            status, retry_after_s = await self._attempt(session, name, number, host, kind, left_s)
+            status, retry_after_s = await self._attempt(
+                session, name, number, host, kind, left_s, key
+            )
             if status not in NOT_EXECUTED_STATUSES:
                 return
             keeps_id = self._rng.random() < self._deployment.repeated_id_share
@@ -107,6 +110,7 @@
         host: str,
         kind: RouteKind,
         deadline_s: float,
+        key: str,
     ) -> tuple[int, float]:
         """Returns the status, 0 if there was no response, and the Retry-After in seconds."""
         now_s = self._deployment.now_s
@@ -115,6 +119,7 @@
             "Host": ROUTE_HOST,
             "Request-Id": request_id,
             "Deadline-Ms": str(int(deadline_s * 1000)),
+            **self._deployment.accounts.headers(key, self._rng),
         }
         method = "GET" if kind.idempotent else "POST"
         body: bytes | AsyncIterator[bytes] | None = None if kind.idempotent else _BODY
@@ -155,6 +160,7 @@
                     leaving,
                     deadline_s,
                     kind.idempotent,
+                    key,
                 )
             )
         return status, retry_after_s
--- a/standins/soak/_deployment.py
+++ b/standins/soak/_deployment.py
@@ -13,6 +13,7 @@
 
 from standins._waiting import poll_until
 from standins.fleet import ManagedProcess
+from standins.soak._accounts import SoakAccounts
 from standins.soak._instance import Instance
 from standins.soak._rules import Bounds, Disturbance, InstanceFault, Observations
 from standins.store import StoreStandin
@@ -21,6 +22,7 @@
 ROUTE_HOST = "soak.example"
 _START_TIMEOUT_S = 60.0
 _GRACE_S = 6.0
+_KEY_LIFETIME_S = 4.0  # Interval at which keys of client accounts are replaced.
 _SETTINGS = """
 nodeName = "{node}"
 ip = "{ip}"
@@ -70,6 +72,7 @@
         }
     )
     work_s: float = 0.2  # Median service time.
+    accounts: int = 0  # Client accounts; without any, requests need no key.
 
 
 # Instances that take as much work, so that each connection carries several times as many requests.
@@ -101,6 +104,10 @@
         self.slow_upload_share = 0.0  # Share of the requests with a body that arrives slowly.
         # Share of the callers that come back after a refusal with the identifier that they had.
         self.repeated_id_share = 0.0
+        self.accounts = SoakAccounts(
+            topology.accounts, self.observations, self.now_s, random.Random(f"{seed} accounts")
+        )
+        self._version = 0
         self._created = 0
         self._started_s = 0.0
         # Ports are the same on all hosts, so runs at the same time need other addresses.
@@ -125,7 +132,7 @@
 
     async def _start(self) -> None:
         await self.store.start()
-        self.store.append_record("keyed.op", "config", self._configuration())
+        self._write_configuration()
         zones = tuple(self.topology.zones)
         for service, count in self.topology.instances.items():
             for number in range(count):
@@ -143,6 +150,13 @@
             self._write_settings(host.ip, host.zone, first_start=False)
         self._started_s = asyncio.get_running_loop().time()
 
+    async def replace_keys(self) -> None:
+        """Replaces keys of client accounts until it is cancelled."""
+        while self.topology.accounts:
+            await asyncio.sleep(_KEY_LIFETIME_S)
+            self.accounts.replace_keys()
+            self._write_configuration()
+
     async def close(self) -> None:
         """Kills the hosts and closes the instances and the store."""
         for host in self.hosts:
@@ -267,6 +281,10 @@
         )
         return path
 
+    def _write_configuration(self) -> None:
+        self._version += 1
+        self.store.append_record("keyed.op", "config", self._configuration())
+
     def _configuration(self) -> bytes:
         topology = self.topology
         routes = [
@@ -293,6 +311,12 @@
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
         }
-        return json.dumps(
-            {"version": "r1", "routes": routes, "services": services, "limits": limits}
-        ).encode()
+        document = {
+            "version": f"r{self._version}",
+            "routes": routes,
+            "services": services,
+            "limits": limits,
+        }
+        if topology.accounts:
+            document["tenants"] = self.accounts.entries()
+        return json.dumps(document).encode()
--- a/standins/soak/_instance.py
+++ b/standins/soak/_instance.py
@@ -189,6 +189,8 @@
                 None if deadline_ms is None else deadline_ms / 1000,
                 not refusal_status,
                 misdirected,
+                req.get_header("Tenant") or "",
+                req.get_header("Authorization") is not None,
             )
         )
         if refusal_status:
--- a/standins/soak/_plan.py
+++ b/standins/soak/_plan.py
@@ -273,13 +273,14 @@
 @event("outage")
 async def _outage(deployment: Deployment, rng: Random) -> str:
     """The store is away, and registrations lapse meanwhile; sound instances renew them."""
-    kind = rng.choice(sorted(_OUTAGES))
+    kind, from_s = rng.choice(sorted(_OUTAGES)), deployment.now_s()
     deployment.store.conditions = _OUTAGES[kind]
     await asyncio.sleep(_LAPSE_S)
     lapsed = _share(rng, _sound_instances(deployment, rng), 0.2, 0.5)
     for each in lapsed:
         each.deregister()
     deployment.store.conditions = StoreConditions()
+    deployment.observations.disturbances.append(Disturbance("store", from_s, deployment.now_s()))
     await asyncio.sleep(rng.uniform(0.3, 1.8))
     for each in lapsed:
         if not each.conditions.leaving:
--- a/standins/soak/_rules.py
+++ b/standins/soak/_rules.py
@@ -22,6 +22,7 @@
     leaving: str  # Instance whose response said that it is leaving; empty if none.
     deadline_s: float  # Time that the caller allowed.
     idempotent: bool  # May run more than once.
+    key: str = ""  # Key of a client account; empty if it has none.
 
 
 class Arrival(NamedTuple):
@@ -35,6 +36,16 @@
     deadline_s: float | None  # Time that the host allowed.
     executed: bool  # False if the instance rejected it.
     misdirected: bool = False  # Rejected because it was meant for another instance.
+    account: str = ""  # Name of the client account that the host has set.
+    has_key: bool = False  # The host has passed on what may be a key.
+
+
+class KeyPeriod(NamedTuple):
+    """Time in which the newest configuration had a key."""
+
+    account: str
+    from_s: float
+    until_s: float
 
 
 class Rejection(NamedTuple):
@@ -49,7 +60,7 @@
 class Disturbance(NamedTuple):
     """Time in which a host did not run, or in which links to an instance were cut."""
 
-    subject: str  # IP address of the host, or key of the instance.
+    subject: str  # IP address of the host, key of the instance, or "store".
     from_s: float
     until_s: float
 
@@ -71,6 +82,7 @@
         self.arrivals: list[Arrival] = []
         self.rejections: list[Rejection] = []
         self.disturbances: list[Disturbance] = []
+        self.keys: dict[str, KeyPeriod] = {}  # Empty if the deployment has no accounts.
         # Not among the disturbances, which excuse hosts also for other rules.
         self.instance_faults: list[InstanceFault] = []
 
@@ -91,6 +103,7 @@
     instance_limit: int = 2  # Instances that may run one request.
     drain_s: float = 2.0  # Time after which a leaving instance gets no request.
     stable_s: float = 3.0  # Time after a disturbance after which a host is stable.
+    apply_s: float = 2.0  # Time after which a configuration is in force.
 
 
 class Violation(NamedTuple):
@@ -379,3 +392,46 @@
         and (fault.instance in names if names else fault.service == request.service)
         for fault in seen.instance_faults
     )
+
+
+@rule("account")
+def _check_account(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
+    """Requests that reach an instance for another account than that of their key, or with a key."""
+    attempts = _Attempts(seen.sent)
+    for arrival in seen.arrivals if seen.keys else ():
+        request = attempts.find(arrival)
+        if arrival.has_key:
+            detail = f"{arrival.request_id} reached {arrival.instance} with a key"
+            yield Violation("account", arrival.at_s, detail)
+        period = None if request is None else seen.keys.get(request.key)
+        if request is not None and (period is None or period.account != arrival.account):
+            owner = "nobody" if period is None else period.account
+            detail = f"{arrival.request_id} of {owner} ran for {arrival.account or 'nobody'}"
+            yield Violation("account", arrival.at_s, detail)
+
+
+@rule("key")
+def _check_key(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
+    """Requests that a host in touch treats as an older configuration demands.
+
+    They run although their key was withdrawn, or get 401 although it was added.
+    """
+    ran = {request for request, _ in _Attempts(seen.sent).executed(seen.arrivals)}
+    for request in seen.sent:
+        period = seen.keys.get(request.key)
+        if period is None:
+            continue
+        withdrawn = request in ran and request.sent_s > period.until_s + bounds.apply_s
+        added = (
+            request.status == HTTPStatus.UNAUTHORIZED
+            and request.sent_s > period.from_s + bounds.apply_s
+            and request.ended_s < period.until_s
+        )
+        since_s = request.sent_s - bounds.apply_s - bounds.stable_s
+        if (withdrawn or added) and not (
+            seen.is_disturbed(request.host, since_s, request.sent_s)
+            or seen.is_disturbed("store", since_s, request.sent_s)
+        ):
+            what = "ran with a withdrawn key" if withdrawn else "got 401 with a key in force"
+            detail = f"{request.request_id} {what} at {request.host}"
+            yield Violation("key", request.sent_s, detail)
--- a/standins/soak/_run.py
+++ b/standins/soak/_run.py
@@ -60,7 +60,10 @@
     async with deployment:
         say(f"{len(deployment.hosts)} hosts are ready, {time.strftime('%H:%M:%S', time.gmtime())}")
         lags: list[float] = []
-        background = [asyncio.create_task(_measure_lag(deployment, lags))]
+        background = [
+            asyncio.create_task(_measure_lag(deployment, lags)),
+            asyncio.create_task(deployment.replace_keys()),
+        ]
         for zone in options.topology.zones:
             callers = ZoneCallers(deployment, zone, Random(f"{options.seed} {zone}"))
             background.append(asyncio.create_task(callers.run()))
--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -54,6 +54,14 @@
     assert report.statuses[200] > 0.5 * report.statuses.total()
 
 
+def test_requests_run_for_the_account_of_their_key_while_keys_are_replaced():
+    topology = TOPOLOGY._replace(accounts=20)
+    report = asyncio.run(run_soak(SoakOptions(101, 10.0, 2.0, ("reset", "suspend"), topology)))
+    assert report.violations == ()
+    assert report.statuses[401] > 0
+    assert report.statuses[200] > 0.5 * report.statuses.total()
+
+
 REPEATS = Conditions(repeats_to_same_request=True)
 REFUSES_WITH_429 = REPEATS._replace(refusal_share=1.0, refusal_status=429)
 COPIES = Conditions(refusal_share=1.0, copy_delay_s=0.02)
--- a/standins/tests/test_soak_rules.py
+++ b/standins/tests/test_soak_rules.py
@@ -8,6 +8,7 @@
     Arrival,
     Disturbance,
     InstanceFault,
+    KeyPeriod,
     Rejection,
     SentRequest,
 )
@@ -311,3 +312,39 @@
     seen.sent, seen.arrivals, seen.rejections, seen.disturbances = observed[:4]
     seen.instance_faults = observed[4] if len(observed) > 4 else []
     assert {violation.rule for violation in check(seen, Bounds())} == broken
+
+
+@pytest.mark.parametrize(
+    ("key", "sent_s", "status", "account", "changes", "broken"),
+    [
+        ("k-new", 15.0, 200, "a", {}, set()),
+        ("k-new", 15.0, 200, "b", {}, {"account"}),
+        ("k-new", 15.0, 200, "", {}, {"account"}),
+        ("k-new", 15.0, 200, "a", {"has_key": True}, {"account"}),
+        ("k-none", 15.0, 200, "a", {}, {"account"}),
+        ("", 15.0, 200, "", {}, {"account"}),
+        ("k-none", 15.0, 401, None, {}, set()),
+        # One key is replaced by the other at 10 s.
+        ("k-old", 9.0, 401, None, {}, {"key"}),
+        ("k-old", 12.0, 200, "a", {}, set()),
+        ("k-old", 12.1, 200, "a", {}, {"key"}),
+        ("k-old", 12.1, 200, "a", {"executed": False}, set()),
+        ("k-old", 12.1, 401, None, {}, set()),
+        ("k-new", 12.0, 401, None, {}, set()),
+        ("k-new", 12.1, 401, None, {}, {"key"}),
+        ("k-new", 12.1, 401, None, {"disturbed": HOST}, set()),
+        ("k-new", 12.1, 401, None, {"disturbed": "store"}, set()),
+        ("k-new", 12.1, 401, None, {"disturbed": OTHER_HOST}, {"key"}),
+    ],
+)
+def test_rules_on_keys_find_exactly_what_is_broken(key, sent_s, status, account, changes, broken):
+    seen = Observations()
+    seen.keys = {"k-old": KeyPeriod("a", -10.0, 10.0), "k-new": KeyPeriod("a", 10.0, 99.0)}
+    changes = dict(changes)
+    disturbed = changes.pop("disturbed", None)
+    if disturbed:
+        seen.disturbances = [Disturbance(disturbed, 8.0, 9.0)]
+    seen.sent = [sent(1, sent_s, status=status)._replace(key=key)]
+    if account is not None:
+        seen.arrivals = [arrival(1, sent_s + 0.05)._replace(account=account, **changes)]
+    assert {each.rule for each in check(seen, Bounds())} == broken
