--- a/anviltray/edge/tests/test_accounts.py
+++ b/anviltray/edge/tests/test_accounts.py
@@ -6,7 +6,7 @@
 import pytest
 
 from anviltray.callers.tests.support import read_response
-from anviltray.edge import _activation
+from anviltray.edge import Edge, _activation
 from anviltray.edge.tests.support import (
     Fleet,
     configuration,
@@ -16,6 +16,8 @@
     respond,
     route,
 )
+from anviltray.platform import decode_configuration
+from anviltray.zone import StoreFollower
 from standins.store import StoreConditions
 
 KEY, OTHER_KEY, NEW_KEY = "s3cret-a1", "s3cret-b", "s3cret-a2"
@@ -311,13 +313,31 @@
     run(tmp_path, test)
 
 
-def test_older_configuration_of_a_peer_brings_no_withdrawn_key_back(tmp_path):
+def test_older_configuration_of_a_peer_brings_no_withdrawn_key_back(tmp_path, monkeypatch):
+    """A peer announces a newer configuration and sends an older one."""
+    snapshot, create_beacon = StoreFollower.snapshot, Edge._create_beacon
+    older, stale = configuration(2, ROUTES, list(ACCOUNTS)), []
+    monkeypatch.setattr(
+        StoreFollower,
+        "snapshot",
+        lambda self: snapshot(self)._replace(configuration=older) if stale else snapshot(self),
+    )
+    monkeypatch.setattr(
+        Edge,
+        "_create_beacon",
+        lambda self, answer: create_beacon(self, answer)._replace(
+            **({"configuration_version": 9} if self in stale else {})
+        ),
+    )
+
     async def test(fleet):
         host, peer = fleet.hosts
-        withdrawn = peer.follower._configuration_record
         await put_in_force(fleet, 3, ACCOUNTS[1:])
-        peer.follower._configuration_record = withdrawn
-        await host.follower._load_snapshot_from(peer.settings.address)
+        fetched = host.follower.counters["snapshots"]
+        stale.append(peer)
+        peer.exchange.send_beacon()
+        await fleet.until(lambda: host.follower.counters["snapshots"] > fetched + 1)
+        assert host.state.configuration.version == 3
         assert (await call(fleet, "GET /level/1", BEARER)).status == 401
 
     run(tmp_path, test, hosts=2)
@@ -357,10 +377,9 @@
     many = [{"name": f"a{number}", "apiKeys": [f"k{number}"]} for number in range(300)]
 
     async def test(fleet):
-        state, follower = fleet.hosts[0].state, fleet.hosts[0].follower
+        state, activation = fleet.hosts[0].state, fleet.hosts[0]._activation
         for version, accounts in ((3, many), (4, []), (5, [*many, *ACCOUNTS])):
-            record = configuration(version, ROUTES, accounts)
-            follower._apply_configuration(record, "store")
+            activation.start(decode_configuration(configuration(version, ROUTES, accounts)))
         assert (state.configuration.version, len(state.accounts)) == (2, 2)
         assert (await call(fleet, "GET /level/1", BEARER)).status == 200
         await fleet.until(lambda: state.configuration.version == 5)
