Split the follower of the store by decision

Change: the replica (_replica.py), the reading of the store (_store_reader.py), outages (_outages.py) and catching up with peers (_peers.py) are modules of their own; the follower starts them and loads the state. No behaviour is changed. Tests name the moved attributes.

--- a/anviltray/zone/tests/test_after_outage.py
+++ b/anviltray/zone/tests/test_after_outage.py
@@ -63,12 +63,12 @@
     failing = StoreStandin()
     failing.conditions = conditions(broken)
     await failing.start()
-    healthy = host.follower._store
-    host.follower._store = KeyedStore(failing.address, STORE_TIMEOUT_S)
+    healthy = host.follower.reader.store
+    host.follower.reader.store = KeyedStore(failing.address, STORE_TIMEOUT_S)
     await healthy.close()  # Calls that wait for a response fail too.
     yield
-    await host.follower._store.close()
-    host.follower._store = healthy
+    await host.follower.reader.store.close()
+    host.follower.reader.store = healthy
     await failing.close()
 
 
@@ -94,7 +94,7 @@
     async def scenario(fleet):
         for host in fleet.hosts:
             offset = host.follower.instances_offset
-            host.follower._handle_changes(InstanceChanges(offset, offset, 0.0, ()))
+            host.follower.peers.handle_changes(InstanceChanges(offset, offset, 0.0, ()))
         fleet.store.append_record("keyed.servers", "i-1", b"")
         await fleet.until(lambda host: host.usable() == [], DRAIN_S)
 
--- a/anviltray/zone/tests/test_follower.py
+++ b/anviltray/zone/tests/test_follower.py
@@ -145,7 +145,9 @@
         other.conditions = conditions
         await other.start()
         for number, victim in enumerate(fleet.hosts):
-            healthy, victim.follower._store = victim.follower._store, KeyedStore(other.address, 0.3)
+            healthy, victim.follower.reader.store = victim.follower.reader.store, KeyedStore(
+                other.address, 0.3
+            )
             fleet.store.append_record(
                 "keyed.op", "config", configuration(version=f"r{10 + number}")
             )
@@ -153,8 +155,8 @@
                 lambda host, version=10 + number: host.versions[-1] == version,
                 3 * CONFIGURATION_S,
             )
-            await victim.follower._store.close()
-            victim.follower._store = healthy
+            await victim.follower.reader.store.close()
+            victim.follower.reader.store = healthy
         await other.close()
 
     run(test)
--- a/anviltray/zone/tests/test_lost_peers.py
+++ b/anviltray/zone/tests/test_lost_peers.py
@@ -29,7 +29,7 @@
     async def __aenter__(self):
         await super().__aenter__()
         for host in self.hosts:
-            host.follower._fetch_snapshot = self.fetcher(host.address)
+            host.follower.peers.fetch_snapshot = self.fetcher(host.address)
             host.store._transport._timeout_s = STORE_TIMEOUT_S
         return self
 
@@ -44,7 +44,7 @@
 
     def readers(self):
         """Returns the hosts in the order in which they read the store."""
-        return sorted(self.hosts, key=lambda host: host.follower._read_rank())
+        return sorted(self.hosts, key=lambda host: host.follower.reader.read_rank())
 
     async def lose(self, host):
         """Ends a host without a sign to the others."""
@@ -94,7 +94,7 @@
         async with LossyFleet(HOSTS) as fleet:
             await asyncio.sleep(1.5)
             reader = fleet.readers()[0]
-            assert reader.follower._read_rank() == 0
+            assert reader.follower.reader.read_rank() == 0
             return await asyncio.wait_for(scenario(fleet, reader), 40)
 
     return asyncio.run(main())
@@ -149,7 +149,7 @@
 async def host_cut_off_after_the_announcement(fleet, reader):
     host = fleet.readers()[-1]
     fleet.append(9)
-    while not host.follower._behind.is_set():  # noqa: ASYNC110
+    while not host.follower.peers.behind.is_set():  # noqa: ASYNC110
         await asyncio.sleep(0.001)
     fleet.cut(host, receives=False)
     return await fleet.in_force(9)
@@ -165,15 +165,17 @@
             raise RuntimeError("unexpected")
 
         victim = fleet.readers()[-1]
-        victim.follower._fetch_snapshot = fetch
-        healthy, victim.follower._store = victim.follower._store, KeyedStore(failing.address, 0.5)
+        victim.follower.peers.fetch_snapshot = fetch
+        healthy, victim.follower.reader.store = victim.follower.reader.store, KeyedStore(
+            failing.address, 0.5
+        )
         fleet.append(9)
         await asyncio.sleep(CONFIGURATION_S)
         assert victim.versions == [7]
         # Both tasks that read the store wait at least 0.25 s after a failure.
         assert len(failing.calls) <= 2 * CONFIGURATION_S / 0.25
-        await victim.follower._store.close()
-        victim.follower._store = healthy
+        await victim.follower.reader.store.close()
+        victim.follower.reader.store = healthy
         await failing.close()
         return await fleet.in_force(9)
 
