Decode the generation of the store, and let the stand-in go back

Cause: a store that comes back from a copy loses records and gives their offsets out again; its responses bear a number that rises each time. Nothing read that number.

Change: the stand-in states its era in all responses, continues from a copy, and answers 410 below and above its log. The transport decodes the number once; results of KeyedStore name the generation that they belong to, a list of pages of two generations is an error, and a conditional append that took effect in another generation than its offset was read in is no success.

--- a/anviltray/platform/__init__.py
+++ b/anviltray/platform/__init__.py
@@ -15,6 +15,7 @@
 from anviltray.platform._http import HttpPlatform
 from anviltray.platform._interface import (
     AppendConflict,
+    Appended,
     AppendRejected,
     AppendUnknown,
     Batch,
@@ -43,6 +44,7 @@
     "AppendConflict",
     "AppendRejected",
     "AppendUnknown",
+    "Appended",
     "BODY_LIMIT_BYTES",
     "Batch",
     "DocumentInvalid",
--- a/anviltray/platform/_interface.py
+++ b/anviltray/platform/_interface.py
@@ -22,13 +22,14 @@
 class AppendConflict(PlatformError):
     """The partition does not end at the expected offset; the append did not take effect."""
 
-    def __init__(self, message: str, end_offset: int) -> None:
+    def __init__(self, message: str, end_offset: int, generation: int | None = None) -> None:
         super().__init__(message)
         self.end_offset = end_offset  # Offset that the next append gets.
+        self.generation = generation  # Generation of the store in which that is the end.
 
 
 class OffsetTrimmed(PlatformError):
-    """The offset is below that of the oldest retained record."""
+    """The log has no record at the offset: the records were deleted, or the store has gone back."""
 
 
 class Record(NamedTuple):
@@ -65,6 +66,7 @@
 
     records: tuple[KeyedRecord, ...]  # In the order of the store.
     end_offset: int  # Offset from which later changes can be read.
+    generation: int | None  # Generation of the store that all of it belongs to; None if not stated.
 
 
 class RecordBatch(NamedTuple):
@@ -73,6 +75,13 @@
     records: tuple[KeyedRecord, ...]  # In the order of the log.
     next_offset: int  # Offset after the last record of this batch.
     end_offset: int  # Offset that the next append gets.
+    generation: int | None  # Generation of the store that all of it belongs to; None if not stated.
+
+
+class Appended(NamedTuple):
+    """An append that took effect."""
+
+    generation: int | None  # Generation of the store that has the record; None if not stated.
 
 
 class HostEntry(NamedTuple):
--- a/anviltray/platform/_names.py
+++ b/anviltray/platform/_names.py
@@ -26,6 +26,9 @@
 READY_PATH = "/v1/ready"
 RESOLVE_PATH = "/v1/resolve"
 
+# Header of all responses of the store: how often it has come back from a copy.
+GENERATION_HEADER = "Store-Era"
+
 # Paths of the store.
 APPEND_PATH = "/v1/log-append"
 READ_PATH = "/v1/log-read"
--- a/anviltray/platform/tests/test_store.py
+++ b/anviltray/platform/tests/test_store.py
@@ -93,6 +93,100 @@
     run(test)
 
 
+@pytest.mark.parametrize(
+    ("header", "generation"),
+    [
+        (None, 1),
+        ("7", 7),
+        ("007", 7),
+        ("", None),
+        ("-1", None),
+        ("1.5", None),
+        ("7, 8", None),
+        ("\u0667".encode().decode("latin-1"), None),
+        ("9" * 30, None),
+    ],
+)
+def test_results_name_the_generation_of_the_store(header, generation):
+    """A number that is misread would make the offsets of a whole zone void."""
+
+    async def test(store, standin):
+        standin.era_header = header
+        appended = await store.append("keyed.t", "a", b"1")
+        results = [
+            appended,
+            await store.read("keyed.t", 0, 0.0),
+            await store.read_newest("keyed.t"),
+        ]
+        assert [result.generation for result in results] == [generation] * 3
+
+    run(test)
+
+
+@pytest.mark.parametrize(("offset", "trimmed"), [(0, False), (1, False), (2, True), (3, True)])
+def test_offset_above_the_log_is_trimmed_after_the_store_has_gone_back(offset, trimmed):
+    async def test(store, standin):
+        standin.append_record("keyed.t", "a", b"1")
+        copy = standin.copy_topics()
+        for number in range(3):
+            standin.append_record("keyed.t", "a", b"%d" % number)
+        standin.go_back(copy)
+        try:
+            batch = await store.read("keyed.t", offset, 0.0)
+        except OffsetTrimmed:
+            assert trimmed
+        else:
+            assert not trimmed
+            assert (batch.generation, batch.end_offset) == (2, 1)
+
+    run(test)
+
+
+def test_append_is_no_success_if_its_offset_belongs_to_an_earlier_generation():
+    """The log ends at the same offset again, after other records."""
+
+    async def test(store, standin):
+        copy = standin.copy_topics()
+        await store.append("keyed.t", "a", b"1")
+        newest = await store.read_newest("keyed.t")
+        standin.go_back(copy)
+        standin.append_record("keyed.t", "b", b"2")
+        with pytest.raises(AppendUnknown):
+            await store.append("keyed.t", "a", b"3", newest.end_offset, newest.generation)
+        newest = await store.read_newest("keyed.t")
+        await store.append("keyed.t", "a", b"4", newest.end_offset, newest.generation)
+        with pytest.raises(AppendConflict) as error:
+            await store.append("keyed.t", "a", b"5", newest.end_offset, newest.generation)
+        assert (error.value.end_offset, error.value.generation) == (3, 2)
+
+    run(test)
+
+
+def test_pages_of_two_generations_are_no_list():
+    async def test(store, standin):
+        for number in range(3):
+            standin.append_record("keyed.t", f"k{number}", b"1")
+        copy = standin.copy_topics()
+        served = 0
+
+        apply_conditions = standin.apply_conditions
+
+        async def go_back_at_the_second_page(request):
+            nonlocal served
+            served += 1
+            if served == 2:
+                standin.go_back(copy)
+            return await apply_conditions(request)
+
+        standin.apply_conditions = go_back_at_the_second_page
+
+        with pytest.raises(PlatformUnavailable, match="generations"):
+            await store.read_newest("keyed.t")
+        assert (await store.read_newest("keyed.t")).generation == 2
+
+    run(test, page_size=2)
+
+
 def test_read_of_deleted_records_is_not_an_outage():
     async def test(store, standin):
         standin.append_record("keyed.t", "a", b"1")
--- a/anviltray/platform/tests/test_transport.py
+++ b/anviltray/platform/tests/test_transport.py
@@ -35,7 +35,7 @@
 async def call(transport, method, number):
     path = f"/{number}"
     body = {"data": path.encode()} if method == "POST" else {}
-    assert await transport.send(method, path, **body) == (200, path.encode())
+    assert await transport.send(method, path, **body) == (200, path.encode(), None)
 
 
 @pytest.mark.parametrize("method", ["GET", "POST"])
--- a/standins/store/_application.py
+++ b/standins/store/_application.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import struct
+from copy import deepcopy
 from typing import NamedTuple
 
 import falcon
@@ -46,14 +47,19 @@
 
 
 class StoreStandin(ServedStandin):
-    """The store in one process; `page_size` limits the number of keys in one page."""
+    """The store in one process; `page_size` limits the number of keys in one page.
+
+    Example: `copy = store.copy_topics()` and, after further appends, `store.go_back(copy)`.
+    """
 
     def __init__(self, address: str = "127.0.0.1:0", page_size: int = 500) -> None:
         self.conditions = StoreConditions()
         self.topics: dict[str, _Topic] = {}
         self.calls: list[str] = []  # Method and path of each call.
         self.page_size = page_size
-        application = falcon.asgi.App()
+        self.era = 1
+        self.era_header: str | None = None  # Replaces the era in responses; "" leaves it out.
+        application = falcon.asgi.App(middleware=[_EraHeader(self)])
         application.add_route("/v1/log-append", _Append(self))
         application.add_route("/v1/log-read", _Read(self))
         application.add_route("/v1/log-newest", _Newest(self))
@@ -61,11 +67,24 @@
 
     def append_record(self, topic: str, key: str, value: bytes) -> int:
         """Appends a record directly and returns its offset; an empty value removes the key."""
-        return self.topics.setdefault(topic, _Topic()).append(key, value)
+        return self.topic(topic).append(key, value)
+
+    def copy_topics(self) -> dict[str, _Topic]:
+        """Returns a copy of the content."""
+        return deepcopy(self.topics)
+
+    def go_back(self, copy: dict[str, _Topic]) -> None:
+        """Goes on from a copy, so that offsets after it are given out again."""
+        self.topics = deepcopy(copy)
+        self.era += 1
+
+    def topic(self, name: str) -> _Topic:
+        """Returns a topic, which is created on first use."""
+        return self.topics.setdefault(name, _Topic())
 
     def compact(self, topic: str) -> None:
         """Removes all records from the log; the newest value of each key remains."""
-        log = self.topics.setdefault(topic, _Topic())
+        log = self.topic(topic)
         log.first, log.records = log.end, []
 
     async def apply_conditions(self, request: falcon.asgi.Request) -> _Topic | None:
@@ -80,8 +99,7 @@
         if conditions.status:
             raise falcon.HTTPError(conditions.status, title="condition")
         await asyncio.sleep(conditions.delay_s)
-        topic: str = request.get_param("topic", required=True)
-        return self.topics.setdefault(topic, _Topic())
+        return self.topic(request.get_param("topic", required=True))
 
 
 def encode_record(key: str, value: bytes) -> bytes:
@@ -91,6 +109,25 @@
     return struct.pack(">I", len(content)) + content
 
 
+class _EraHeader:
+    def __init__(self, standin: StoreStandin) -> None:
+        self._standin = standin
+
+    async def process_response(
+        self,
+        request: falcon.asgi.Request,
+        response: falcon.asgi.Response,
+        resource: object,
+        succeeded: bool,
+    ) -> None:
+        """Names the era in all responses, also in errors."""
+        header = self._standin.era_header
+        if header is None:
+            header = str(self._standin.era)
+        if header:
+            response.set_header("Store-Era", header)
+
+
 class _Resource:
     def __init__(self, standin: StoreStandin) -> None:
         self._standin = standin
@@ -126,9 +163,10 @@
         wait_s = request.get_param_as_int("waitMs", default=0) / 1000
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + wait_s
-        while topic.end <= offset and loop.time() < deadline_s:  # noqa: ASYNC110
+        while topic.end == offset and loop.time() < deadline_s:
             await asyncio.sleep(_POLL_S)
-        if offset < topic.first:
+            topic = self._standin.topic(request.get_param("topic", required=True))
+        if not topic.first <= offset <= topic.end:
             response.status = falcon.HTTP_410
             response.media = {"first": topic.first}
             return
