Follow a store that goes back to a copy

Cause: a 410 was read as a compacted log only, and offsets were compared without the generation of the store they belong to. After a rewind a host waited for an offset that came again with other records, believed the copy's registrations of instances that had left, and its own record was gone.

Renewals count as overdue only after a read that would have shown them, also after an outage.

Tests that build these messages name the new fields.

--- a/anviltray/decisions/following/__init__.py
+++ b/anviltray/decisions/following/__init__.py
@@ -1,5 +1,11 @@
-"""Election of the hosts that read the store on behalf of its availability zone."""
+"""Which hosts read the store for their availability zone, and what its responses are worth."""
 
+from anviltray.decisions.following._positions import (
+    UNKNOWN_POSITION,
+    StorePosition,
+    Verdict,
+    judge_read,
+)
 from anviltray.decisions.following._reader import (
     CONFIGURATION_READERS,
     READ_INTERVAL_S,
@@ -11,7 +17,11 @@
 __all__ = [
     "CONFIGURATION_READERS",
     "READ_INTERVAL_S",
+    "StorePosition",
     "StoreView",
+    "UNKNOWN_POSITION",
+    "Verdict",
+    "judge_read",
     "read_after_s",
     "read_rank",
 ]
--- a/anviltray/decisions/instances/_directory.py
+++ b/anviltray/decisions/instances/_directory.py
@@ -1,5 +1,10 @@
-"""Directory of registered instances that tolerates outages of the store with the registrations."""
+"""Directory of registered instances that tolerates outages of the store with the registrations.
 
+Load pattern: the store is away or comes back from an older copy. Registrations of live instances
+are missing then, and the copy lists instances that have left.
+"""
+
+import math
 from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 from typing import NamedTuple
@@ -8,10 +13,22 @@
 
 # After an outage of the store, instances renew expired registrations within two seconds. The margin
 # covers one read interval.
-RENEWAL_GRACE_S = 2.7
-# Stale records of a stopped instance may still arrive for this long. A restarted instance is
+_READ_MARGIN_S = 0.7
+RENEWAL_GRACE_S = 2.0 + _READ_MARGIN_S
+# Stale records of an instance that has left may still arrive for this long. A restarted instance is
 # recognized by its later start time.
-_DRAINED_RETENTION_S = 120.0
+_DEPARTURE_RETENTION_S = 120.0
+# The store removes an instance after three heartbeats of 1.5 s without a renewal. The margin covers
+# an outage that is too short to be noticed, and two read intervals.
+COPIED_HOLD_S = 8.0
+
+
+class Departure(NamedTuple):
+    """An instance that has left, or that is draining and will leave."""
+
+    started_unix_ms: int  # Its start; a later one is another instance.
+    left_s: float  # Time when this host learned of it.
+    draining: bool  # It said so itself, so only a later start brings it back.
 
 
 class _Backoff(NamedTuple):
@@ -26,6 +43,10 @@
     renew it after the recovery. Draining is final until an instance restarts: a stale record does
     not reactivate it, not even after its registration was removed. An instance that has asked to
     wait stays usable; `backoff_until_s` tells when it may get requests again.
+
+    Records of a store that has gone back may be older than what this host has seen. A copied record
+    of an instance that has left is held back until the instance renews it, or until the store would
+    have removed it.
     """
 
     def __init__(self) -> None:
@@ -33,7 +54,8 @@
         self._renewable_until: dict[str, float] = {}  # inf during an outage.
         self._misdirected: dict[str, Instance] = {}  # Registrations whose address was reused.
         self._warming_until: dict[str, float] = {}  # End of the warm-up after the start.
-        self._drained: dict[str, tuple[int, float]] = {}  # Start and removal of drained instances.
+        self._departed: dict[str, Departure] = {}  # Of instances that are not registered.
+        self._held: dict[str, tuple[Instance, float]] = {}  # Copied records, and until when.
         # Kept independently of the registration, which may lapse and return.
         self._backoffs: dict[str, _Backoff] = {}
         self._by_service: dict[str, tuple[Instance, ...]] = {}
@@ -66,8 +88,14 @@
         """Adds or updates a registration; ignores stale records."""
         key = instance.id
         current = self._instances.get(key)
-        started_unix_ms, _ = self._drained.get(key, (0, 0.0))
-        if current is None and 0 < instance.started_unix_ms <= started_unix_ms:
+        departure = self._departed.get(key)
+        self._held.pop(key, None)
+        if (
+            current is None
+            and departure is not None
+            and departure.draining
+            and 0 < instance.started_unix_ms <= departure.started_unix_ms
+        ):
             return
         self._renewable_until.pop(key, None)
         if current is not None and current.started_unix_ms == instance.started_unix_ms:
@@ -78,19 +106,67 @@
             self._warming_until[key] = now_s + instance.warmup_s
         if self._misdirected.get(key, instance) != instance:
             del self._misdirected[key]
+        if departure is not None and not departure.draining:
+            del self._departed[key]
         self._instances[key] = instance
         self._by_service.clear()
 
+    def hold_copies(self, now_s: float, instances: Iterable[Instance]) -> frozenset[str]:
+        """Holds back what a store that went back lists of instances that had left before.
+
+        Returns the ids of these instances: this host has seen them leave, or knows a later start of
+        another one at their address. The others are to be registered.
+        """
+        starts: dict[str, int] = {}  # Newest start by address.
+        for each in self._instances.values():
+            starts[each.address] = max(starts.get(each.address, 0), each.started_unix_ms)
+        held = []
+        for instance in instances:
+            departure = self._departed.get(instance.id)
+            if instance.id not in self._instances and (
+                (departure is not None and instance.started_unix_ms <= departure.started_unix_ms)
+                or instance.started_unix_ms < starts.get(instance.address, 0)
+            ):
+                self._held[instance.id] = (instance, now_s + COPIED_HOLD_S)
+                held.append(instance.id)
+        return frozenset(held)
+
+    def is_held_back(self, key: str) -> bool:
+        """Returns whether the copied record of an instance is held back."""
+        return key in self._held
+
+    def departures(self, now_s: float) -> dict[str, Departure]:
+        """Returns what a host needs to know that loads from a store which has gone back, by id."""
+        draining = {
+            key: Departure(instance.started_unix_ms, now_s, True)
+            for key, instance in self._instances.items()
+            if instance.draining
+        }
+        return {**self._departed, **draining}
+
+    def add_departures(self, now_s: float, departures: Mapping[str, Departure]) -> None:
+        """Adds what a host has seen that knows a newer state of the store."""
+        for key, departure in departures.items():
+            current, known = self._instances.get(key), self._departed.get(key)
+            if current is not None and current.started_unix_ms > departure.started_unix_ms:
+                continue
+            if current is not None and departure.draining:
+                self._instances[key] = current._replace(draining=True)
+                self._by_service.clear()
+            elif known is None or _rank(known) < _rank(departure):
+                self._departed[key] = departure
+                if current is not None:
+                    self._delete(key)
+                    self._held[key] = (current, now_s + COPIED_HOLD_S)
+
     def deregister(self, now_s: float, key: str) -> None:
         """Removes a registration, or keeps it for renewal if the store has or had an outage."""
         instance = self._instances.get(key)
+        self._held.pop(key, None)
         if instance is None:
             return
-        if instance.draining:
-            self._drained[key] = (instance.started_unix_ms, now_s)
-            self._delete(key)
-        elif not self._can_be_renewed(now_s):
-            self._delete(key)
+        if instance.draining or not self._can_be_renewed(now_s):
+            self._remove(now_s, instance)
         else:
             self._renewable_until.setdefault(key, self._renewal_deadline_s(now_s))
 
@@ -117,8 +193,10 @@
         key, started_unix_ms = instance.id, instance.started_unix_ms
         current = self._instances.get(key)
         if current is None:
-            known_unix_ms, _ = self._drained.get(key, (0, 0.0))
-            self._drained[key] = (max(known_unix_ms, started_unix_ms), now_s)
+            known = self._departed.get(key)
+            known_unix_ms = known.started_unix_ms if known is not None and known.draining else 0
+            started_ms = max(known_unix_ms, started_unix_ms)
+            self._departed[key] = Departure(started_ms, now_s, True)
             return known_unix_ms < started_unix_ms
         if current.draining or current.started_unix_ms != started_unix_ms:
             return False
@@ -159,31 +237,60 @@
         self._recovered_s = now_s
         for key in self._renewable_until:
             self._renewable_until[key] = now_s + RENEWAL_GRACE_S
+        self._extend_holds(now_s)
+
+    def on_store_went_back(self, now_s: float) -> None:
+        """Records when the store came back from an older copy; grants the time for renewals."""
+        self._recovered_s = max(self._recovered_s, now_s)
+        for key, until_s in self._renewable_until.items():
+            self._renewable_until[key] = max(until_s, now_s + RENEWAL_GRACE_S)
+        self._extend_holds(now_s)
 
-    def expire(self, now_s: float) -> tuple[str, ...]:
+    def expire(self, now_s: float, last_read_s: float = math.inf) -> tuple[str, ...]:
         """Removes expired registrations that were not renewed in time and returns their ids.
 
-        Also drops state that no longer has an effect.
+        A registration counts as not renewed only if the newest read of the store, at `last_read_s`,
+        would have shown it. Also drops state that no longer has an effect.
         """
-        oldest_s = now_s - _DRAINED_RETENTION_S
-        expired = tuple(key for key, until_s in self._renewable_until.items() if until_s <= now_s)
+        oldest_s = now_s - _DEPARTURE_RETENTION_S
+        decided_s = min(now_s, last_read_s + _READ_MARGIN_S)
+        expired = tuple(
+            key for key, until_s in self._renewable_until.items() if until_s <= decided_s
+        )
         for key in expired:
-            self._delete(key)
-        for key in [key for key, (_, removed_s) in self._drained.items() if removed_s < oldest_s]:
-            del self._drained[key]
+            self._remove(now_s, self._instances[key])
+        for instance, until_s in tuple(self._held.values()):
+            if until_s <= decided_s:
+                self.register(now_s, instance)
+        for key in [key for key, each in self._departed.items() if each.left_s < oldest_s]:
+            del self._departed[key]
         for key in [key for key, backoff in self._backoffs.items() if backoff.until_s <= now_s]:
             del self._backoffs[key]
         return expired
 
+    def _extend_holds(self, now_s: float) -> None:
+        """Restarts the time that the store needs to remove instances that are silent."""
+        for key, (instance, until_s) in self._held.items():
+            self._held[key] = (instance, max(until_s, now_s + COPIED_HOLD_S))
+
     def _can_be_renewed(self, now_s: float) -> bool:
         return self._outage or now_s < self._recovered_s + RENEWAL_GRACE_S
 
     def _renewal_deadline_s(self, now_s: float) -> float:
         return float("inf") if self._outage else max(now_s, self._recovered_s + RENEWAL_GRACE_S)
 
+    def _remove(self, now_s: float, instance: Instance) -> None:
+        self._departed[instance.id] = Departure(instance.started_unix_ms, now_s, instance.draining)
+        self._delete(instance.id)
+
     def _delete(self, key: str) -> None:
         self._instances.pop(key, None)
         self._renewable_until.pop(key, None)
         self._misdirected.pop(key, None)
         self._warming_until.pop(key, None)
         self._by_service.clear()
+
+
+def _rank(departure: Departure) -> tuple[int, bool]:
+    """Returns the key by which the departure that says more is the greater one."""
+    return departure.started_unix_ms, departure.draining
--- a/anviltray/decisions/instances/tests/test_directory.py
+++ b/anviltray/decisions/instances/tests/test_directory.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from anviltray.decisions.instances import InstanceDirectory
-from anviltray.decisions.instances._directory import RENEWAL_GRACE_S
+from anviltray.decisions.instances import Departure, InstanceDirectory
+from anviltray.decisions.instances._directory import COPIED_HOLD_S, RENEWAL_GRACE_S
 from anviltray.declarations import Instance
 
 ONE = Instance("i-1", 1000, "keeper", "10.0.0.1:80", "viti-suva", "v1", 6, False, 0.0)
@@ -142,6 +142,91 @@
         assert bool(usable_ids(directory)) == (now_s < kept_until_s), now_s
 
 
+DRAINING = TWO._replace(draining=True)
+LATER = TWO._replace(started_unix_ms=2000)
+HELD_UNTIL_S = 10.0 + COPIED_HOLD_S
+
+
+@pytest.mark.parametrize(
+    ("before", "copied", "usable_from_s"),
+    [
+        ([("deregister", "i-2")], TWO, HELD_UNTIL_S),
+        ([("deregister", "i-2")], LATER, 10.0),
+        ([], TWO, 10.0),
+        ([("register", DRAINING)], TWO, float("inf")),
+        ([("register", DRAINING), ("deregister", "i-2")], TWO, float("inf")),
+        ([("register", DRAINING), ("deregister", "i-2")], LATER, 10.0),
+        # It lapsed and returned before the store went back.
+        ([("deregister", "i-2"), ("register", TWO)], TWO, 10.0),
+        # Without a start in the record, one start looks like another.
+        (
+            [
+                ("register", TWO._replace(started_unix_ms=0, id="i-3")),
+                ("deregister", "i-3"),
+            ],
+            TWO._replace(started_unix_ms=0, id="i-3"),
+            HELD_UNTIL_S,
+        ),
+        # Another instance has the address by now.
+        (
+            [("deregister", "i-2"), ("register", LATER._replace(id="i-4"))],
+            TWO._replace(id="i-5"),
+            HELD_UNTIL_S,
+        ),
+    ],
+)
+def test_copied_record_of_an_instance_that_has_left_is_held_back(before, copied, usable_from_s):
+    directory = make_directory(ONE, TWO)
+    for name, value in before:
+        getattr(directory, name)(9.0, value)
+    if copied.id not in directory.hold_copies(10.0, [copied]):
+        directory.register(10.0, copied)
+    for now_s in (10.0, HELD_UNTIL_S - 0.1, HELD_UNTIL_S):
+        directory.expire(now_s)
+        assert (copied.id in usable_ids(directory)) == (now_s >= usable_from_s), now_s
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "usable"),
+    [
+        ("register", TWO, True),
+        ("register", DRAINING, False),
+        ("deregister", "i-2", False),
+        ("add_departures", {"i-2": Departure(1000, 9.0, True)}, False),
+    ],
+)
+def test_what_the_store_says_later_ends_the_hold(name, value, usable):
+    directory = make_directory(ONE, TWO)
+    directory.deregister(9.0, "i-2")
+    assert directory.hold_copies(10.0, [TWO]) == {"i-2"}
+    getattr(directory, name)(11.0, value)
+    directory.expire(HELD_UNTIL_S)
+    assert ("i-2" in usable_ids(directory)) == usable
+
+
+@pytest.mark.parametrize(
+    ("departure", "usable"),
+    [
+        (Departure(1000, 9.0, False), False),
+        (Departure(1000, 9.0, True), False),
+        (Departure(999, 9.0, True), True),
+    ],
+)
+def test_departure_that_a_peer_has_seen_holds_here(departure, usable):
+    directory = make_directory(ONE, TWO)
+    directory.add_departures(10.0, {"i-2": departure})
+    assert ("i-2" in usable_ids(directory)) == usable
+
+
+def test_renewal_is_not_overdue_before_a_read_would_have_shown_it():
+    directory = make_directory(ONE)
+    directory.on_store_went_back(10.0)
+    directory.deregister(10.5, "i-1")
+    due_s = 10.0 + RENEWAL_GRACE_S
+    assert directory.expire(due_s, last_read_s=11.5) == ()
+    assert directory.expire(due_s, last_read_s=due_s) == ("i-1",)
+
+
 def test_replace_all_removes_instances_that_are_not_listed():
     directory = make_directory(ONE, TWO)
     directory.replace_all(1.0, [TWO])
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -298,6 +298,7 @@
             instances_offset=self.follower.instances_offset,
             read_age_s=self.follower.read_age_s(),
             answer=answer,
+            instances_generation=self.follower.instances_generation,
         )
 
     async def _fetch_snapshot(self, host: str) -> Any:
--- a/anviltray/messages/_generated.py
+++ b/anviltray/messages/_generated.py
@@ -130,6 +130,25 @@
     )
 
 
+class InstanceDeparture(NamedTuple):
+    """An instance that has left or is draining, whatever a copy of the store says of it."""
+
+    key: str  # Instance id.
+    started_unix_ms: int  # Start of the instance; a later one is another instance.
+    age_s: float  # Time since the sender learned of it.
+    draining: bool  # Whether the instance said so itself.
+
+
+def _decode_instance_departure(data: Any) -> InstanceDeparture:
+    items = check_arity("InstanceDeparture", data, 4)
+    return InstanceDeparture(
+        key=decode_str(items[0]),
+        started_unix_ms=decode_int(items[1]),
+        age_s=decode_float(items[2]),
+        draining=decode_bool(items[3]),
+    )
+
+
 class HostLocality(NamedTuple):
     """Address and availability zone of one host."""
 
@@ -765,10 +784,11 @@
     instances_offset: int  # Offset up to which it has the registrations, or -1.
     read_age_s: float  # Age of the newest read of the store that its data includes.
     answer: bool  # Whether the receiver should send its own beacon at once.
+    instances_generation: int  # Generation of the store that instances_offset belongs to, or 0.
 
 
 def _decode_host_beacon(data: Any) -> HostBeacon:
-    items = check_arity("HostBeacon", data, 11)
+    items = check_arity("HostBeacon", data, 12)
     return HostBeacon(
         host=decode_str(items[0]),
         incarnation=decode_int(items[1]),
@@ -781,6 +801,7 @@
         instances_offset=decode_int(items[8]),
         read_age_s=decode_float(items[9]),
         answer=decode_bool(items[10]),
+        instances_generation=decode_int(items[11]),
     )
 
 
@@ -806,15 +827,17 @@
     next_offset: int  # Offset after the last record.
     since_return_s: float  # Time since the store recovered from an outage; inf without one.
     changes: tuple[KeyedChange, ...]  # Changed keys.
+    generation: int  # Generation of the store that the offsets belong to, or 0.
 
 
 def _decode_instance_changes(data: Any) -> InstanceChanges:
-    items = check_arity("InstanceChanges", data, 4)
+    items = check_arity("InstanceChanges", data, 5)
     return InstanceChanges(
         from_offset=decode_int(items[0]),
         next_offset=decode_int(items[1]),
         since_return_s=decode_float(items[2]),
         changes=decode_list(items[3], _decode_keyed_change),
+        generation=decode_int(items[4]),
     )
 
 
@@ -854,16 +877,24 @@
     instances_offset: int  # Offset up to which the registrations are included, or -1.
     instances: tuple[KeyedChange, ...]  # Registrations by key.
     read_age_s: float  # Age of the newest read of the store that they include.
+    instances_generation: int  # Generation of the store that instances_offset belongs to, or 0.
+    since_gone_back_s: float  # Time since the store went back to a copy; inf if it has not.
+    departures: tuple[
+        InstanceDeparture, ...
+    ]  # Instances that have left or are draining, if the store states generations.
 
 
 def _decode_store_snapshot(data: Any) -> StoreSnapshot:
-    items = check_arity("StoreSnapshot", data, 5)
+    items = check_arity("StoreSnapshot", data, 8)
     return StoreSnapshot(
         configuration_version=decode_int(items[0]),
         configuration=decode_bytes(items[1]),
         instances_offset=decode_int(items[2]),
         instances=decode_list(items[3], _decode_keyed_change),
         read_age_s=decode_float(items[4]),
+        instances_generation=decode_int(items[5]),
+        since_gone_back_s=decode_float(items[6]),
+        departures=decode_list(items[7], _decode_instance_departure),
     )
 
 
@@ -1114,6 +1145,7 @@
     "LogRecord",
     "SnapshotPart",
     "KeyedChange",
+    "InstanceDeparture",
     "HostLocality",
     "InstanceObservation",
     "InstanceBelief",
--- a/anviltray/zone/_follower.py
+++ b/anviltray/zone/_follower.py
@@ -11,10 +11,11 @@
 from anviltray.decisions.instances import InstanceDirectory
 from anviltray.declarations import RoutingConfiguration
 from anviltray.messages import HostLocality, StoreSnapshot
-from anviltray.platform import KeyedStore, PlatformError, names
+from anviltray.platform import KeyedStore, PlatformError
 from anviltray.zone._exchange import ZoneExchange
 from anviltray.zone._outages import OutageDetector
 from anviltray.zone._peers import POLL_INTERVAL_S, RETRY_BACKOFF_S, PeerFollower
+from anviltray.zone._registration import HostRegistration
 from anviltray.zone._replica import StoreReplica
 from anviltray.zone._store_reader import READ_ORDER_LIFETIME_S, StoreReader
 
@@ -45,7 +46,6 @@
         fetch: Callable[[str], Awaitable[StoreSnapshot]],
         rng: Random,
     ) -> None:
-        self._own = own
         self._exchange = exchange
         self._directory = directory
         self._rng = rng
@@ -59,6 +59,9 @@
         self.peers = PeerFollower(
             exchange, self.replica, self.reader, outages, fetch, rng, self.counters
         )
+        self._registration = HostRegistration(
+            own, exchange, self.replica, self.reader, rng, self.counters
+        )
 
     @property
     def version(self) -> int:
@@ -73,7 +76,12 @@
     @property
     def instances_offset(self) -> int:
         """Offset up to which this host has the registrations, or -1."""
-        return self.replica.instances_offset
+        return self.replica.position.offset
+
+    @property
+    def instances_generation(self) -> int:
+        """Generation of the store that the offset belongs to; 0 if the store states none."""
+        return self.replica.position.generation
 
     @property
     def reaches_store(self) -> bool:
@@ -98,7 +106,7 @@
 
     async def run(self) -> None:
         """Loads the state and then follows changes, until cancelled."""
-        joining = asyncio.create_task(self._join_fleet())
+        joining = asyncio.create_task(self._registration.join())
         try:
             # If the store is unreachable, a seed may still send the list of hosts.
             while not joining.done() and not self._exchange.alive():
@@ -109,39 +117,11 @@
                 self._follow_instances(),
                 self._follow_configuration(),
                 self.peers.run(),
+                self._registration.run(),
             )
         finally:
             joining.cancel()
 
-    async def _join_fleet(self) -> None:
-        """Registers this host in the store and reads the other hosts of the fleet.
-
-        The write comes before the read: of two hosts that start at the same time, at least the one
-        that writes last finds the other one, which then learns of it from its beacon.
-        """
-        store, call = self.reader.store, self.reader.call
-        pause_s = RETRY_BACKOFF_S[0]
-        joined = False
-        while True:
-            try:
-                if not joined:
-                    zone = self._own.zone.encode()
-                    await call(store.append(names.HOST_TOPIC, self._own.address, zone))
-                    joined = True
-                newest = await call(store.read_newest(names.HOST_TOPIC))
-                break
-            except PlatformError as error:
-                # An append with an unknown result is retried; a duplicate record is harmless.
-                _log.warning("joining the fleet failed: {}", error)
-            await asyncio.sleep(pause_s * (1 + self._rng.random()))
-            pause_s = min(2 * pause_s, RETRY_BACKOFF_S[1])
-        self._exchange.hosts.add(
-            HostLocality(record.key, record.payload.decode("utf-8", "replace"))
-            for record in newest.records
-            if record.payload
-        )
-        self._exchange.send_beacon()
-
     async def _load_initial_state(self) -> None:
         await asyncio.sleep(_LOAD_JITTER_S * self._rng.random())
         pause_s = RETRY_BACKOFF_S[0]
@@ -165,7 +145,7 @@
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
             now_s = self._loop.time()
-            for key in self._directory.expire(now_s):
+            for key in self._directory.expire(now_s, self.replica.last_read_s):
                 _log.info("instance {} removed: not renewed after the store outage", key)
             self._outages.check(reaches_store=self.reaches_store)
             rank = self.reader.read_rank()
@@ -189,7 +169,7 @@
         while True:
             if self.reader.read_rank() >= CONFIGURATION_READERS:
                 await asyncio.sleep(READ_ORDER_LIFETIME_S)
-                self.reader.forget_configuration_offset()
+                self.reader.forget_configuration_position()
                 continue
             try:
                 await self.reader.read_configuration(_LONG_POLL_S)
--- a/anviltray/zone/_peers.py
+++ b/anviltray/zone/_peers.py
@@ -7,6 +7,7 @@
 
 import logbook
 
+from anviltray.decisions.following import StorePosition
 from anviltray.messages import HostBeacon, InstanceChanges, StoreSnapshot
 from anviltray.platform import PlatformError
 from anviltray.zone._exchange import ZoneExchange
@@ -57,22 +58,33 @@
     def handle_changes(self, message: InstanceChanges) -> None:
         """Applies the changes that a peer has read, if they follow the state of this host."""
         self._outages.on_reported_return(message.since_return_s)
-        if message.from_offset <= self._replica.instances_offset < message.next_offset:
-            self._replica.apply_changes(message.changes, message.next_offset)
+        position = self._replica.position
+        if (
+            message.generation == position.generation
+            and message.from_offset <= position.offset < message.next_offset
+        ):
+            self._replica.apply_changes(
+                message.changes, position._replace(offset=message.next_offset)
+            )
 
     async def load(self) -> bool:
         """Loads the state from a live peer that has it; returns whether that succeeded."""
-        for host in self._exchange.alive():
-            beacon = host.beacon
-            if beacon.configuration_version >= 0 and beacon.instances_offset >= 0:
-                return await self._load_snapshot_from(beacon.host)
-        return False
+        loaded = [
+            host.beacon
+            for host in self._exchange.alive()
+            if host.beacon.configuration_version >= 0 and host.beacon.instances_offset >= 0
+        ]
+        if not loaded:
+            return False
+        # A host that has started since the store went back may have an older configuration.
+        newest = max(loaded, key=lambda beacon: (beacon.configuration_version, _position(beacon)))
+        return await self._load_snapshot_from(newest.host)
 
     async def run(self) -> None:
         """Catches up with peers that have announced a newer state, until cancelled."""
         while True:
             await self.behind.wait()
-            if self._is_configuration_announced():
+            if self._is_announced_to_all():
                 await asyncio.sleep(_CONFIGURATION_FETCH_JITTER_S * self._rng.random())
             else:
                 await asyncio.sleep(_INSTANCES_FETCH_DELAY_S)
@@ -86,14 +98,13 @@
         if behind and not self.behind.is_set():
             self._replica.announced_at_s = self._loop.time()
             self.behind.set()
-        elif not behind and beacon.instances_offset == self._replica.instances_offset:
+        elif not behind and _position(beacon) == self._replica.position:
             # The read counts, because this host has its result.
             self._replica.record_read(beacon.read_age_s)
 
     def _is_ahead(self, beacon: HostBeacon) -> bool:
-        return (
-            beacon.configuration_version > self._replica.version
-            or beacon.instances_offset > self._replica.instances_offset
+        return beacon.configuration_version > self._replica.version or self._replica.is_newer(
+            _position(beacon)
         )
 
     def _ahead(self) -> list[HostBeacon]:
@@ -104,6 +115,13 @@
         version = self._replica.version
         return any(beacon.configuration_version > version for beacon in self._ahead())
 
+    def _is_announced_to_all(self) -> bool:
+        """Returns whether all hosts of the zone are behind, so that they do not fetch at once."""
+        generation = self._replica.generation
+        return self._is_configuration_announced() or any(
+            beacon.instances_generation > generation for beacon in self._ahead()
+        )
+
     async def _catch_up(self) -> None:
         """Fetches a newer state from peers, and from the store if no peer sends it soon."""
         fetching = asyncio.create_task(self._fetch_from_peers())
@@ -134,8 +152,7 @@
         """Reads from the store what peers have announced; raises PlatformError."""
         if self._is_configuration_announced():
             await self._reader.reload_configuration()
-        offset = self._replica.instances_offset
-        if any(beacon.instances_offset > offset for beacon in self._ahead()):
+        if any(self._replica.is_newer(_position(beacon)) for beacon in self._ahead()):
             await self._reader.read_instances()
 
     async def _fetch_from_peers(self) -> None:
@@ -156,3 +173,7 @@
             return False
         self._replica.apply_snapshot(snapshot, host)
         return self._replica.loaded
+
+
+def _position(beacon: HostBeacon) -> StorePosition:
+    return StorePosition(beacon.instances_generation, beacon.instances_offset)
--- a/anviltray/zone/_replica.py
+++ b/anviltray/zone/_replica.py
@@ -1,26 +1,37 @@
 """This host's replica of the store state: the configuration and the registrations."""
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
 import logbook
 
-from anviltray.decisions.instances import InstanceDirectory
+from anviltray.decisions.following import UNKNOWN_POSITION, StorePosition
+from anviltray.decisions.instances import Departure, InstanceDirectory
 from anviltray.declarations import Instance, RoutingConfiguration
-from anviltray.messages import KeyedChange, StoreSnapshot
-from anviltray.platform import DocumentInvalid, decode_configuration, decode_instance
+from anviltray.messages import InstanceDeparture, KeyedChange, StoreSnapshot
+from anviltray.platform import (
+    DocumentInvalid,
+    PlatformError,
+    decode_configuration,
+    decode_instance,
+)
 
 _log = logbook.Logger("anviltray.store")
 
-UNKNOWN = -1  # Version or offset of a host that has loaded nothing.
+_NO_VERSION = -1
+
+
+class StaleResponse(PlatformError):
+    """The store returned an older state than before."""
 
 
 class StoreReplica:
     """The newest state of the store that this host knows.
 
-    The configuration never returns to an older version. `changed` is called when a configuration
-    has been applied.
+    The configuration never returns to an older version, also if the store goes back to a copy that
+    holds one. `changed` is called when a configuration has been applied.
     """
 
     def __init__(
@@ -34,7 +45,10 @@
         self._registrations: dict[str, bytes] = {}  # Records by instance id.
         self._configuration_handlers: list[Callable[[RoutingConfiguration], None]] = []
         self.configuration: RoutingConfiguration | None = None
-        self.instances_offset = UNKNOWN
+        self._generation_handlers: list[Callable[[], None]] = []
+        self._went_back_s = float("-inf")  # Time when the store last went back to a copy.
+        self.generation = 0  # Newest generation of the store that this host knows; 0 if none.
+        self.position = UNKNOWN_POSITION  # Up to here, the registrations are included.
         # Time of the zone's newest read of the store whose result this host has.
         self.last_read_s = float("-inf")
         # Time when a peer announced a newer state than this one; None if no peer has.
@@ -43,12 +57,12 @@
     @property
     def version(self) -> int:
         """Version of the current configuration, or -1 if there is none."""
-        return UNKNOWN if self.configuration is None else self.configuration.version
+        return _NO_VERSION if self.configuration is None else self.configuration.version
 
     @property
     def loaded(self) -> bool:
         """Whether the configuration and the registrations have been loaded."""
-        return self.configuration is not None and self.instances_offset != UNKNOWN
+        return self.configuration is not None and self.position != UNKNOWN_POSITION
 
     def read_age_s(self) -> float:
         """Returns the age in seconds of the newest read whose result this host has."""
@@ -63,25 +77,96 @@
         """Registers a handler of new configurations."""
         self._configuration_handlers.append(handler)
 
+    def subscribe_to_generations(self, handler: Callable[[], None]) -> None:
+        """Registers a handler that is called when the store has gone back to a copy."""
+        self._generation_handlers.append(handler)
+
+    def check_generation(self, stated: int | None, since_s: float = 0.0) -> None:
+        """Compares the generation of a response of the store, or that of a peer's snapshot.
+
+        `since_s` is the time since it began, as far as the peer knows. Raises StaleResponse if the
+        generation has passed.
+        """
+        if stated is None or stated == self.generation:
+            return
+        if stated < self.generation:
+            self._counters["passed_generations"] += 1
+            raise StaleResponse(
+                f"stale: generation {stated} of the store is before {self.generation}"
+            )
+        previous, self.generation = self.generation, stated
+        if previous == 0 and not self.loaded:
+            return  # The first response that this host sees.
+        self._on_went_back(previous, since_s)
+
+    def _on_went_back(self, previous: int, since_s: float) -> None:
+        # Without a known time, the instances get the whole time to write again.
+        self._went_back_s = self._loop.time() - (max(0.0, since_s) if since_s < math.inf else 0.0)
+        self._counters["generations"] += 1
+        _log.warning(
+            "the store has gone back to a copy: generation {} follows {}; configuration {} and {} "
+            "registrations are kept until they are written again",
+            self.generation,
+            previous,
+            self.version,
+            len(self._registrations),
+        )
+        self._directory.on_store_went_back(self._went_back_s)
+        for handler in self._generation_handlers:
+            handler()
+
     def snapshot(self) -> StoreSnapshot:
         """Returns a snapshot of the replica for a peer."""
-        changes = tuple(KeyedChange(key, payload) for key, payload in self._registrations.items())
+        now_s = self._loop.time()
+        departures = self._directory.departures(now_s) if self.position.generation else {}
         return StoreSnapshot(
             self.version,
             self._configuration_record,
-            self.instances_offset,
-            changes,
+            self.position.offset,
+            tuple(KeyedChange(key, payload) for key, payload in self._registrations.items()),
             self.read_age_s(),
+            self.position.generation,
+            now_s - self._went_back_s,
+            tuple(
+                InstanceDeparture(key, each.started_unix_ms, now_s - each.left_s, each.draining)
+                for key, each in departures.items()
+            ),
+        )
+
+    def is_newer(self, position: StorePosition) -> bool:
+        """Returns whether registrations up to `position` are newer than those of this host.
+
+        A host that has none also takes those from before the store went back, to compare its copy.
+        """
+        return position > self.position and (
+            position.generation >= self.generation or self.position == UNKNOWN_POSITION
         )
 
     def apply_snapshot(self, snapshot: StoreSnapshot, source: str) -> None:
         """Takes what is newer in the snapshot of a peer."""
         if snapshot.configuration:
             self.apply_configuration(snapshot.configuration, source)
-        if snapshot.instances_offset > self.instances_offset:
-            records = {change.key: change.payload for change in snapshot.instances}
-            self.replace_all(records, snapshot.instances_offset)
-            self.record_read(snapshot.read_age_s)
+        position = StorePosition(snapshot.instances_generation, snapshot.instances_offset)
+        if not self.is_newer(position):
+            return
+        if position.generation > self.generation:
+            self.check_generation(position.generation, snapshot.since_gone_back_s)
+        if position.generation > self.position.generation:
+            now_s = self._loop.time()
+            self._directory.add_departures(
+                now_s,
+                {
+                    each.key: Departure(
+                        each.started_unix_ms, now_s - max(0.0, each.age_s), each.draining
+                    )
+                    for each in snapshot.departures
+                },
+            )
+        records = {change.key: change.payload for change in snapshot.instances}
+        self.replace_all(records, position)
+        if position.generation < self.generation:
+            self._on_went_back(position.generation, 0.0)
+        self.record_read(snapshot.read_age_s)
 
     def apply_configuration(self, payload: bytes, source: str) -> None:
         """Applies a configuration if it is newer; an invalid one is counted and ignored."""
@@ -91,6 +176,13 @@
             self._counters["invalid_records"] += 1
             _log.error("the configuration from {} is invalid: {}", source, error)
             return
+        if (
+            configuration.version == self.version
+            and payload != self._configuration_record
+            and configuration != self.configuration
+        ):
+            self._counters["conflicting_configurations"] += 1
+            _log.error("kept configuration {}, which {} has otherwise", self.version, source)
         if configuration.version <= self.version:
             return
         _log.info(
@@ -118,37 +210,58 @@
             KeyedChange(key, payload)
             for key, payload in records.items()
             if _is_changed(self._registrations.get(key, b""), key, payload)
+            # The renewal of a copied record shows that the instance lives.
+            or self._directory.is_held_back(key)
         ]
 
-    def replace_all(self, records: Mapping[str, bytes], offset: int) -> None:
-        """Replaces the registrations by the complete list of the store at `offset`."""
+    def replace_all(self, records: Mapping[str, bytes], position: StorePosition) -> None:
+        """Replaces the registrations by the complete list of the store at `position`.
+
+        The list of a later generation than before may contain copied records that are older.
+        """
+        copied = position.generation > self.position.generation
         removed = [KeyedChange(key, b"") for key in self._registrations if key not in records]
         changes = [
             KeyedChange(key, payload)
             for key, payload in records.items()
             if payload != self._registrations.get(key, b"")
         ]
-        self.apply_changes([*removed, *changes], offset)
+        self.apply_changes([*removed, *changes], position, copied=copied)
 
-    def apply_changes(self, changes: Iterable[KeyedChange], offset: int) -> None:
-        """Applies changes of registrations up to `offset`."""
+    def apply_changes(
+        self, changes: Iterable[KeyedChange], position: StorePosition, *, copied: bool = False
+    ) -> None:
+        """Applies changes of registrations up to `position`."""
         now_s = self._loop.time()
-        self.instances_offset = offset
+        self.position = position
+        instances: list[Instance] = []
         for change in changes:
-            if change.payload:
-                self._registrations[change.key] = change.payload
-                self._register_instance(now_s, change.key, change.payload)
-            elif self._registrations.pop(change.key, None) is not None:
-                self._directory.deregister(now_s, change.key)
-                _log.info("instance {} is no longer registered, offset {}", change.key, offset)
-
-    def _register_instance(self, now_s: float, key: str, payload: bytes) -> None:
+            if not change.payload:
+                if self._registrations.pop(change.key, None) is not None:
+                    self._directory.deregister(now_s, change.key)
+                    _log.info("instance {} is no longer registered, {}", change.key, position)
+                continue
+            self._registrations[change.key] = change.payload
+            if (instance := self._decode_instance(change.key, change.payload)) is not None:
+                instances.append(instance)
+        held = self._directory.hold_copies(now_s, instances) if copied else ()
+        for instance in instances:
+            if instance.id in held:
+                self._counters["held_copies"] += 1
+                _log.info("instance {} is held back: it had left already", instance.id)
+            else:
+                self._register_instance(now_s, instance)
+
+    def _decode_instance(self, key: str, payload: bytes) -> Instance | None:
         try:
-            instance = decode_instance(key, payload)
+            return decode_instance(key, payload)
         except DocumentInvalid as error:
             self._counters["invalid_records"] += 1
             _log.warning("the registration {} is invalid: {}", key, error)
-            return
+            return None
+
+    def _register_instance(self, now_s: float, instance: Instance) -> None:
+        key = instance.id
         previous: Instance | None = self._directory.instances.get(key)
         self._directory.register(now_s, instance)
         current = self._directory.instances.get(key)
--- a/anviltray/zone/_store_reader.py
+++ b/anviltray/zone/_store_reader.py
@@ -3,27 +3,36 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 import logbook
 
-from anviltray.decisions.following import StoreView, read_rank
+from anviltray.decisions.following import (
+    UNKNOWN_POSITION,
+    StorePosition,
+    StoreView,
+    Verdict,
+    judge_read,
+    read_rank,
+)
 from anviltray.messages import HostLocality, InstanceChanges, KeyedChange
-from anviltray.platform import KeyedStore, OffsetTrimmed, PlatformError, names
+from anviltray.platform import KeyedStore, OffsetTrimmed, RecordBatch, names
 from anviltray.zone._exchange import MAX_DATAGRAM_BYTES, ZoneExchange
 from anviltray.zone._outages import OutageDetector
-from anviltray.zone._replica import UNKNOWN, StoreReplica
+from anviltray.zone._replica import StaleResponse, StoreReplica
 
 _log = logbook.Logger("anviltray.store")
 
-_Result = TypeVar("_Result")
 
-# The order in which the hosts of the zone read the store is computed again after this time.
-READ_ORDER_LIFETIME_S = 0.25
+class _Result(Protocol):
+    @property
+    def generation(self) -> int | None: ...
 
 
-class StaleResponse(PlatformError):
-    """The store returned an older state than before."""
+_ResultT = TypeVar("_ResultT", bound=_Result)
+
+# The order in which the hosts of the zone read the store is computed again after this time.
+READ_ORDER_LIFETIME_S = 0.25
 
 
 class StoreReader:
@@ -45,7 +54,7 @@
         self._outages = outages
         self._counters = counters
         self._loop = asyncio.get_running_loop()
-        self._configuration_offset = UNKNOWN
+        self._configuration_position = UNKNOWN_POSITION
         self._own_read_rank = 0
         self._read_order_expires_s = float("-inf")
         self.reaches_store = False
@@ -69,67 +78,82 @@
     async def read_instances(self) -> None:
         """Reads the changes of registrations and sends them to the zone; raises PlatformError."""
         replica = self._replica
-        offset = replica.instances_offset
+        requested = replica.position
+        if requested.generation < replica.generation:
+            await self.reload_instances()
+            return
         try:
-            batch = await self.call(self.store.read(names.INSTANCE_TOPIC, offset, 0.0))
+            batch = await self.call(self.store.read(names.INSTANCE_TOPIC, requested.offset, 0.0))
         except OffsetTrimmed:
-            _log.info(
-                "offset {} is no longer in the log of the store; reloading the registrations",
-                offset,
-            )
+            _log.info("{} is not in the log of the store; reloading the registrations", requested)
             await self.reload_instances()
             return
-        self._check_end(batch.end_offset, replica.instances_offset)
+        verdict = self._judge(batch, requested, replica.position)
+        if verdict is Verdict.RELOAD:
+            await self.reload_instances()
+            return
+        if verdict is Verdict.OVERTAKEN:
+            return  # The result of this read may not be in the replica, so the read does not count.
         # Only the newest record of each key matters; instances renew theirs continuously.
         changes = replica.find_changes(
             {record.key: record.payload or b"" for record in batch.records}
         )
-        if batch.next_offset > offset == replica.instances_offset:
-            replica.apply_changes(changes, batch.next_offset)
-            self._broadcast_changes(offset, batch.next_offset, changes)
+        if batch.next_offset > requested.offset:
+            replica.apply_changes(changes, requested._replace(offset=batch.next_offset))
+            self._broadcast_changes(requested, batch.next_offset, changes)
         replica.record_read()
         self._exchange.send_beacon()
 
     async def reload_instances(self) -> None:
         """Reads all registrations; raises PlatformError."""
         newest = await self.call(self.store.read_newest(names.INSTANCE_TOPIC))
-        self._check_end(newest.end_offset, self._replica.instances_offset)
+        position = StorePosition(self._replica.generation, newest.end_offset)
+        if position < self._replica.position:
+            raise StaleResponse(f"stale: {position} is before {self._replica.position}")
         records = {record.key: record.payload or b"" for record in newest.records}
-        self._replica.replace_all(records, newest.end_offset)
+        self._replica.replace_all(records, position)
         self._replica.record_read()
+        self._exchange.send_beacon()
 
     async def read_configuration(self, wait_s: float) -> None:
         """Reads newer configurations, waiting up to `wait_s` for one; raises PlatformError."""
-        offset = self._configuration_offset
-        if offset == UNKNOWN:
+        requested = self._configuration_position
+        if requested.offset < 0 or requested.generation < self._replica.generation:
             await self.reload_configuration()
             return
         try:
-            batch = await self.call(self.store.read(names.OPERATOR_TOPIC, offset, wait_s))
+            batch = await self.call(self.store.read(names.OPERATOR_TOPIC, requested.offset, wait_s))
         except OffsetTrimmed:
             await self.reload_configuration()
             return
-        self._check_end(batch.end_offset, offset)
+        if self._judge(batch, requested, requested) is Verdict.RELOAD:
+            await self.reload_configuration()
+            return
         for record in batch.records:
             self._apply_operator_record(record.key, record.payload)
-        self._configuration_offset = batch.next_offset
+        self._configuration_position = requested._replace(offset=batch.next_offset)
 
     async def reload_configuration(self) -> None:
         """Reads the newest configuration; raises PlatformError."""
         newest = await self.call(self.store.read_newest(names.OPERATOR_TOPIC))
         for record in newest.records:
             self._apply_operator_record(record.key, record.payload)
-        self._configuration_offset = newest.end_offset
+        self._configuration_position = StorePosition(self._replica.generation, newest.end_offset)
 
-    def forget_configuration_offset(self) -> None:
+    def forget_configuration_position(self) -> None:
         """Makes the next read of the configuration a complete one."""
-        self._configuration_offset = UNKNOWN
+        self._configuration_position = UNKNOWN_POSITION
+
+    async def call(self, call: Awaitable[_ResultT]) -> _ResultT:
+        """Awaits a call to the store and records whether the store responds.
 
-    async def call(self, call: Awaitable[_Result]) -> _Result:
-        """Awaits a call to the store and records whether the store responds."""
+        Raises the errors of the call, and StaleResponse for a late response from before the store
+        went back to a copy.
+        """
         self._counters["calls"] += 1
         try:
             result = await call
+            self._replica.check_generation(result.generation)
         except OffsetTrimmed:
             self._record_call(reached=True)
             raise
@@ -144,9 +168,13 @@
         if key == names.CONFIGURATION_KEY and payload:
             self._replica.apply_configuration(payload, "store")
 
-    def _check_end(self, end_offset: int, offset: int) -> None:
-        if end_offset < offset:
-            raise StaleResponse(f"stale: log end {end_offset} is before offset {offset}")
+    def _judge(
+        self, batch: RecordBatch, requested: StorePosition, current: StorePosition
+    ) -> Verdict:
+        verdict = judge_read(requested, current, self._replica.generation, batch.end_offset)
+        if verdict is Verdict.STALE:
+            raise StaleResponse(f"stale: log end {batch.end_offset} is before {requested}")
+        return verdict
 
     def _record_call(self, *, reached: bool) -> None:
         if reached != self.reaches_store:
@@ -158,9 +186,15 @@
         if reached:
             self._outages.on_successful_call()
 
-    def _broadcast_changes(self, offset: int, next_offset: int, changes: list[KeyedChange]) -> None:
+    def _broadcast_changes(
+        self, position: StorePosition, next_offset: int, changes: list[KeyedChange]
+    ) -> None:
         message = InstanceChanges(
-            offset, next_offset, self._outages.since_return_s(), tuple(changes)
+            position.offset,
+            next_offset,
+            self._outages.since_return_s(),
+            tuple(changes),
+            position.generation,
         )
         if sum(len(change.payload) for change in changes) <= MAX_DATAGRAM_BYTES:
             self._exchange.send_to_zone(message)
--- a/anviltray/zone/tests/test_after_outage.py
+++ b/anviltray/zone/tests/test_after_outage.py
@@ -94,7 +94,7 @@
     async def scenario(fleet):
         for host in fleet.hosts:
             offset = host.follower.instances_offset
-            host.follower.peers.handle_changes(InstanceChanges(offset, offset, 0.0, ()))
+            host.follower.peers.handle_changes(InstanceChanges(offset, offset, 0.0, (), 1))
         fleet.store.append_record("keyed.servers", "i-1", b"")
         await fleet.until(lambda host: host.usable() == [], DRAIN_S)
 
--- a/anviltray/zone/tests/test_follower.py
+++ b/anviltray/zone/tests/test_follower.py
@@ -54,6 +54,7 @@
             follower.instances_offset,
             follower.read_age_s(),
             answer,
+            follower.instances_generation,
         )
 
     async def fetch(self, address):
--- a/anviltray/zone/tests/test_snapshots.py
+++ b/anviltray/zone/tests/test_snapshots.py
@@ -1,6 +1,7 @@
 """Guards against snapshots too large to reach all hosts of a zone in time, and damaged ones."""
 
 import asyncio
+import math
 import random
 
 import pytest
@@ -47,7 +48,7 @@
         for _ in range(ROUTES)
     ]
     instances = tuple(KeyedChange(f"i-{word(10)}", registration()) for _ in range(300))
-    return StoreSnapshot(7, configuration(routes=routes), 40, instances, 0.1)
+    return StoreSnapshot(7, configuration(routes=routes), 40, instances, 0.1, 0, math.inf, ())
 
 
 def test_large_snapshot_reaches_all_peers_in_time_only_if_compressed():
