Let the store go back in the soak, and check that left instances get nothing

Cause: nothing played a rewind with real hosts, and no rule looked at instances that leave without saying so in their responses.

Change: the event rewind takes a copy, lets instances renew and leave, goes back and writes again what was lost; later further instances leave. The rule left finds requests to instances that the store has removed while it was stable.

--- a/standins/soak/_deployment.py
+++ b/standins/soak/_deployment.py
@@ -14,7 +14,7 @@
 from standins._waiting import poll_until
 from standins.fleet import ManagedProcess
 from standins.soak._instance import Instance
-from standins.soak._rules import Bounds, Disturbance, InstanceFault, Observations
+from standins.soak._rules import STORE, Bounds, Disturbance, InstanceFault, Observations
 from standins.store import StoreStandin
 
 CALLER_PORT, DIRECTORY_PORT, READINESS_PORT = 8144, 8143, 8140
@@ -101,6 +101,7 @@
         self.slow_upload_share = 0.0  # Share of the requests with a body that arrives slowly.
         # Share of the callers that come back after a refusal with the identifier that they had.
         self.repeated_id_share = 0.0
+        self.version = 1  # Of the newest configuration.
         self._created = 0
         self._started_s = 0.0
         # Ports are the same on all hosts, so runs at the same time need other addresses.
@@ -125,7 +126,7 @@
 
     async def _start(self) -> None:
         await self.store.start()
-        self.store.append_record("keyed.op", "config", self._configuration())
+        self.write_configuration(self.version)
         zones = tuple(self.topology.zones)
         for service, count in self.topology.instances.items():
             for number in range(count):
@@ -166,6 +167,18 @@
         await instance.start()
         return instance
 
+    def write_configuration(self, version: int) -> None:
+        """Writes the configuration under a version, which is otherwise the same."""
+        self.version = version
+        self.store.append_record("keyed.op", "config", self._configuration())
+
+    @contextlib.contextmanager
+    def store_disturbance(self) -> Iterator[None]:
+        """Records that the store is disturbed meanwhile."""
+        from_s = self.now_s()
+        yield
+        self.observations.disturbances.append(Disturbance(STORE, from_s, self.now_s()))
+
     def start_instance_again(self, instance: Instance, *, reset: bool) -> str:
         """Gives an instance a new key at its address; returns the old one, still registered."""
         old_key = instance.key
@@ -294,5 +307,10 @@
             "idleTimeoutMs": 15000,
         }
         return json.dumps(
-            {"version": "r1", "routes": routes, "services": services, "limits": limits}
+            {
+                "version": f"r{self.version}",
+                "routes": routes,
+                "services": services,
+                "limits": limits,
+            }
         ).encode()
--- a/standins/soak/_instance.py
+++ b/standins/soak/_instance.py
@@ -22,7 +22,7 @@
 from standins.soak._rules import Arrival, Observations, Rejection
 from standins.store import StoreStandin
 
-_TOPIC = "keyed.servers"
+INSTANCE_TOPIC = "keyed.servers"
 _SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 _REFUSAL = (
     "HTTP/1.1 {status} Refused\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
@@ -50,7 +50,8 @@
     # once more and the request is run.
     repeats_to_same_request: bool = False
     copy_delay_s: float = 0.0  # Writes each refusal once more about so much later; 0 does not.
-    leaving: bool = False  # Says so in all responses.
+    leaving: bool = False
+    says_so: bool = True  # All responses of a leaving instance say that it is leaving.
 
 
 def _write_if_open(connection: asyncio.Transport, data: bytes) -> None:
@@ -144,11 +145,11 @@
             },
             "status": {"state": state, "sequence": 1, "warmupLeftMs": 0},
         }
-        self._store.append_record(_TOPIC, self.key, json.dumps(document).encode())
+        self._store.append_record(INSTANCE_TOPIC, self.key, json.dumps(document).encode())
 
     def deregister(self, key: str = "") -> None:
         """Removes the registration of `key`, by default the present one, from the store."""
-        self._store.append_record(_TOPIC, key or self.key, b"")
+        self._store.append_record(INSTANCE_TOPIC, key or self.key, b"")
 
     async def _serve(
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response | None, **_: object
@@ -162,7 +163,7 @@
         request_id = req.get_header("Request-Id") or ""
         resp.set_header("Request-Id", request_id)
         resp.set_header("Instance-Id", self.key)
-        if conditions.leaving:
+        if conditions.leaving and conditions.says_so:
             resp.set_header("Server-Leaving", "1")
         host = req.scope["client"][0]
         misdirected = req.get_header("Expect-Instance") not in (None, self.key)
--- a/standins/soak/_plan.py
+++ b/standins/soak/_plan.py
@@ -7,8 +7,8 @@
 
 from standins.relay import Direction, Relay
 from standins.soak._deployment import Deployment
-from standins.soak._instance import Conditions, Instance
-from standins.soak._rules import Disturbance
+from standins.soak._instance import INSTANCE_TOPIC, Conditions, Instance
+from standins.soak._rules import Departure, Disturbance
 from standins.store import StoreConditions
 
 _Item = TypeVar("_Item")
@@ -23,6 +23,7 @@
 _RESET_SHARE = 0.5  # Restarts of instances that reset their connections.
 _OLD_ENTRY_S = (0.4, 1.5)  # Time for which the entry of the id before still stands.
 _SWITCH_S = 2.5  # Time until hosts use a changed address only.
+_COPY_AGE_S = (0.5, 4.0)  # Of the copy from which the store comes back.
 _LINGER_S = 6.0  # Time for which a leaving instance still serves.
 
 
@@ -257,6 +258,8 @@
             each.register("draining")
         elif report == "unannounced":
             each.deregister()
+        if report != "cut off":
+            deployment.observations.departures.append(Departure(each.key, deployment.now_s()))
     await asyncio.sleep(_LAPSE_S)
     if report == "cut off":
         for each in instances:
@@ -274,12 +277,13 @@
 async def _outage(deployment: Deployment, rng: Random) -> str:
     """The store is away, and registrations lapse meanwhile; sound instances renew them."""
     kind = rng.choice(sorted(_OUTAGES))
-    deployment.store.conditions = _OUTAGES[kind]
-    await asyncio.sleep(_LAPSE_S)
-    lapsed = _share(rng, _sound_instances(deployment, rng), 0.2, 0.5)
-    for each in lapsed:
-        each.deregister()
-    deployment.store.conditions = StoreConditions()
+    with deployment.store_disturbance():
+        deployment.store.conditions = _OUTAGES[kind]
+        await asyncio.sleep(_LAPSE_S)
+        lapsed = _share(rng, _sound_instances(deployment, rng), 0.2, 0.5)
+        for each in lapsed:
+            each.deregister()
+        deployment.store.conditions = StoreConditions()
     await asyncio.sleep(rng.uniform(0.3, 1.8))
     for each in lapsed:
         if not each.conditions.leaving:
@@ -287,6 +291,56 @@
     return f"the store was away ({kind}), {len(lapsed)} registrations lapsed"
 
 
+@event("rewind")
+async def _rewind(deployment: Deployment, rng: Random) -> str:
+    """The store comes back from a copy; instances and operator write again what it has lost."""
+    store, copy = deployment.store, deployment.store.copy_topics()
+    deployment.write_configuration(deployment.version + 1)
+    left = await _replace_unannounced(deployment, rng)
+    for each in deployment.instances:
+        if each.started and not each.conditions.leaving:
+            each.register()  # Renewals are lost and make the log longer than it will be.
+    await asyncio.sleep(rng.uniform(*_COPY_AGE_S))
+    with deployment.store_disturbance():
+        before = {key: value for key, (value, _) in store.topic(INSTANCE_TOPIC).newest.items()}
+        away_s, away = rng.choice((0.0, 0.3, 3.0)), StoreConditions(status=503)
+        store.conditions = away
+        await asyncio.sleep(away_s)
+        store.go_back(copy)
+        if store.conditions is away:  # Otherwise an outage has begun meanwhile.
+            store.conditions = StoreConditions()
+    await asyncio.sleep(rng.uniform(0.3, 1.8))
+    topic = store.topic(INSTANCE_TOPIC)
+    written = {key for key, _ in topic.records[copy[INSTANCE_TOPIC].end - topic.first :]}
+    lost = [
+        (key, before.get(key, b""))
+        for key in sorted({*before, *topic.newest} - written)
+        if topic.newest.get(key, (b"", 0))[0] != before.get(key, b"")
+    ]
+    for key, value in lost:
+        store.append_record(INSTANCE_TOPIC, key, value)
+    deployment.write_configuration(deployment.version)
+    # The hosts must follow the store again by now.
+    await asyncio.sleep(deployment.bounds.stable_s)
+    left += await _replace_unannounced(deployment, rng)
+    await asyncio.sleep(_LINGER_S)
+    for each in left:
+        each.started = False
+        await each.close()
+    return f"the store went back after {away_s:g} s, {len(lost)} registrations were written again"
+
+
+async def _replace_unannounced(deployment: Deployment, rng: Random) -> list[Instance]:
+    """Starts instances and removes the entries of as many, whose responses do not tell of it."""
+    left = _share(rng, _sound_instances(deployment, rng), 0.0, 0.3)
+    for each in left:
+        await deployment.add_instance(each.service, each.zone)
+        each.conditions = each.conditions._replace(leaving=True, says_so=False)
+        each.deregister()
+        deployment.observations.departures.append(Departure(each.key, deployment.now_s()))
+    return left
+
+
 @event("terminate")
 async def _terminate(deployment: Deployment, rng: Random) -> str:
     """Hosts are restarted in turn."""
--- a/standins/soak/_rules.py
+++ b/standins/soak/_rules.py
@@ -46,14 +46,24 @@
     retry_after_s: float
 
 
+STORE = "store"  # Subject of the disturbances of the store.
+
+
 class Disturbance(NamedTuple):
-    """Time in which a host did not run, or in which links to an instance were cut."""
+    """Time in which a host did not run, links to an instance were cut, or the store was away."""
 
-    subject: str  # IP address of the host, or key of the instance.
+    subject: str  # IP address of the host, key of the instance, or `STORE`.
     from_s: float
     until_s: float
 
 
+class Departure(NamedTuple):
+    """An instance that the store has as draining or removed."""
+
+    instance: str
+    at_s: float
+
+
 class InstanceFault(NamedTuple):
     """Time in which an instance reset connections, refused them or was cut off."""
 
@@ -71,6 +81,7 @@
         self.arrivals: list[Arrival] = []
         self.rejections: list[Rejection] = []
         self.disturbances: list[Disturbance] = []
+        self.departures: list[Departure] = []
         # Not among the disturbances, which excuse hosts also for other rules.
         self.instance_faults: list[InstanceFault] = []
 
@@ -339,6 +350,28 @@
             yield Violation("leaving", arrival.at_s, detail)
 
 
+@rule("left")
+def _check_left(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
+    """Requests to instances that left while the store was stable, whatever it lists afterwards."""
+    attempts = _Attempts(seen.sent)
+    left_s = {
+        each.instance: each.at_s
+        for each in seen.departures
+        if not seen.is_disturbed(STORE, each.at_s - bounds.stable_s, each.at_s + bounds.drain_s)
+    }
+    for arrival in seen.arrivals:
+        at_s, late = left_s.get(arrival.instance), attempts.find(arrival)
+        if at_s is None or late is None or late.sent_s <= at_s + bounds.drain_s:
+            continue
+        from_s = at_s - bounds.stable_s
+        if not arrival.misdirected and not seen.is_disturbed(arrival.host, from_s, arrival.at_s):
+            detail = (
+                f"{arrival.instance} got {arrival.request_id} from {arrival.host}, "
+                f"sent {late.sent_s - at_s:.2f} s after it left"
+            )
+            yield Violation("left", arrival.at_s, detail)
+
+
 @rule("needless-failure")
 def _check_needless_failure(seen: Observations, bounds: Bounds) -> Iterator[Violation]:
     """Requests that a stable host answered with 502, although no instance has executed them."""
--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -22,6 +22,7 @@
 
 TOPOLOGY = Topology(hosts_per_zone=2)
 DISTURBED = ("reject", "reset", "leave", "outage", "terminate", "kill", "suspend")
+WENT_BACK = ("rewind", "suspend")
 REFUSED_AGAIN = ("refuse", "copy", "restart")
 ANSWERED_WRONGLY = ("fail", "repeat", "silent", "upload", "crash", "cut")
 
@@ -54,6 +55,13 @@
     assert report.statuses[200] > 0.5 * report.statuses.total()
 
 
+def test_rules_are_kept_while_the_store_goes_back():
+    """Hosts that wait for offsets of the earlier log do not notice which instances leave."""
+    report = asyncio.run(run_soak(SoakOptions(4, 16.0, 8.0, WENT_BACK, TOPOLOGY)))
+    assert report.violations == ()
+    assert report.statuses[200] > 0.8 * report.statuses.total()
+
+
 REPEATS = Conditions(repeats_to_same_request=True)
 REFUSES_WITH_429 = REPEATS._replace(refusal_share=1.0, refusal_status=429)
 COPIES = Conditions(refusal_share=1.0, copy_delay_s=0.02)
--- a/standins/tests/test_soak_rules.py
+++ b/standins/tests/test_soak_rules.py
@@ -4,8 +4,10 @@
 
 from standins.soak import Bounds, Observations, check
 from standins.soak._rules import (
+    STORE,
     UNFINISHED,
     Arrival,
+    Departure,
     Disturbance,
     InstanceFault,
     Rejection,
@@ -61,6 +63,11 @@
     return requests, [arrival(1, 0.9), arrival(2, at_s)], [], list(disturbances)
 
 
+def left_at_1_s(at_s, *disturbances):
+    """Returns a request at `at_s` to an instance that the store has removed."""
+    return [sent(1, at_s)], [arrival(1, at_s)], [], list(disturbances), [], [Departure("i-1", 1.0)]
+
+
 def answered(status, count=1, executed=True, idempotent=False, disturbances=()):
     """Returns requests that got `status`, 0 for none, and reached an instance."""
     requests = [sent(number, 5.0, "", status, idempotent) for number in range(count)]
@@ -281,6 +288,12 @@
         (come_back_to_leaving_instance((3.2, HOST)), {"leaving"}),
         (come_back_to_leaving_instance((3.2, HOST), host=OTHER_HOST), set()),
         (come_back_to_leaving_instance((3.2, HOST), misdirected=True), set()),
+        (left_at_1_s(3.0), set()),
+        (left_at_1_s(3.1), {"left"}),
+        # The store goes back later, or the host or the store is disturbed when it has to learn it.
+        (left_at_1_s(9.0, Disturbance(STORE, 3.5, 4.0)), {"left"}),
+        (left_at_1_s(9.0, Disturbance(STORE, 2.5, 4.0)), set()),
+        (left_at_1_s(9.0, Disturbance(HOST, 4.0, 5.0)), set()),
         # Failures that need not be.
         (failed(5), set()),
         (failed(6), {"needless-failure"}),
@@ -310,4 +323,5 @@
     seen = Observations()
     seen.sent, seen.arrivals, seen.rejections, seen.disturbances = observed[:4]
     seen.instance_faults = observed[4] if len(observed) > 4 else []
+    seen.departures = observed[5] if len(observed) > 5 else []
     assert {violation.rule for violation in check(seen, Bounds())} == broken
