Keep fetching from peers while one of them is ahead

Cause: a beacon with a newer state that arrived just after the fetch of _catch_up had ended left a host reading only the store, so one without a path to the store kept the old configuration.

Change: fetching from peers and reading the store are two tasks; the first that ends with no peer ahead ends both, and a fetch ends only then.

--- a/anviltray/zone/_peers.py
+++ b/anviltray/zone/_peers.py
@@ -125,28 +125,31 @@
     async def _catch_up(self) -> None:
         """Fetches a newer state from peers, and from the store if no peer sends it soon."""
         fetching = asyncio.create_task(self._fetch_from_peers())
+        reading = asyncio.create_task(self._read_until_level())
         try:
-            await asyncio.wait({fetching}, timeout=_PEER_PATIENCE_S)
-            pause_s = RETRY_BACKOFF_S[0]
-            while self._ahead():
-                self._counters["late_peers"] += 1
-                try:
-                    await self._read_announced()
-                except PlatformError as error:
-                    self._counters["failed_reads"] += 1
-                    _log.warning("reading what a peer has announced failed: {}", error)
-                delay_s = pause_s * (1 + self._rng.random())
-                if fetching.done():
-                    await asyncio.sleep(delay_s)
-                else:
-                    await asyncio.wait({fetching}, timeout=delay_s)
-                pause_s = min(2 * pause_s, RETRY_BACKOFF_S[1])
+            await asyncio.wait({fetching, reading}, return_when=asyncio.FIRST_COMPLETED)
+            if fetching.done() and (error := fetching.exception()) is not None:
+                # The store has the state as well, so the host goes on without its peers.
+                _log.error("fetching from peers failed: {!r}", error)
+                await reading
         finally:
             fetching.cancel()
-            (result,) = await asyncio.gather(fetching, return_exceptions=True)
-            if isinstance(result, Exception):
-                # The store has the state as well, so the host goes on without its peers.
-                _log.error("fetching from peers failed: {!r}", result)
+            reading.cancel()
+            await asyncio.gather(fetching, reading, return_exceptions=True)
+
+    async def _read_until_level(self) -> None:
+        """Reads the store until no peer is ahead, after a time in which a peer may send it."""
+        await asyncio.sleep(_PEER_PATIENCE_S)
+        pause_s = RETRY_BACKOFF_S[0]
+        while self._ahead():
+            self._counters["late_peers"] += 1
+            try:
+                await self._read_announced()
+            except PlatformError as error:
+                self._counters["failed_reads"] += 1
+                _log.warning("reading what a peer has announced failed: {}", error)
+            await asyncio.sleep(pause_s * (1 + self._rng.random()))
+            pause_s = min(2 * pause_s, RETRY_BACKOFF_S[1])
 
     async def _read_announced(self) -> None:
         """Reads from the store what peers have announced; raises PlatformError."""
