--- a/standins/soak/_deployment.py
+++ b/standins/soak/_deployment.py
@@ -15,7 +15,7 @@
 from standins.fleet import ManagedProcess
 from standins.soak._accounts import SoakAccounts
 from standins.soak._instance import Instance
-from standins.soak._rules import Bounds, Disturbance, InstanceFault, Observations
+from standins.soak._rules import STORE, Bounds, Disturbance, InstanceFault, Observations
 from standins.store import StoreStandin
 
 CALLER_PORT, DIRECTORY_PORT, READINESS_PORT = 8144, 8143, 8140
@@ -107,7 +107,7 @@
         self.accounts = SoakAccounts(
             topology.accounts, self.observations, self.now_s, random.Random(f"{seed} accounts")
         )
-        self._version = 0
+        self.version = 0  # Of the newest configuration.
         self._created = 0
         self._started_s = 0.0
         # Ports are the same on all hosts, so runs at the same time need other addresses.
@@ -132,7 +132,7 @@
 
     async def _start(self) -> None:
         await self.store.start()
-        self._write_configuration()
+        self.write_configuration(1)
         zones = tuple(self.topology.zones)
         for service, count in self.topology.instances.items():
             for number in range(count):
@@ -155,7 +155,7 @@
         while self.topology.accounts:
             await asyncio.sleep(_KEY_LIFETIME_S)
             self.accounts.replace_keys()
-            self._write_configuration()
+            self.write_configuration(self.version + 1)
 
     async def close(self) -> None:
         """Kills the hosts and closes the instances and the store."""
@@ -180,6 +180,18 @@
         await instance.start()
         return instance
 
+    def write_configuration(self, version: int) -> None:
+        """Writes the configuration under a version, which is otherwise the same."""
+        self.version = version
+        self.store.append_record("keyed.op", "config", self._configuration())
+
+    @contextlib.contextmanager
+    def store_disturbance(self) -> Iterator[None]:
+        """Records that the store is disturbed meanwhile."""
+        from_s = self.now_s()
+        yield
+        self.observations.disturbances.append(Disturbance(STORE, from_s, self.now_s()))
+
     def start_instance_again(self, instance: Instance, *, reset: bool) -> str:
         """Gives an instance a new key at its address; returns the old one, still registered."""
         old_key = instance.key
@@ -281,10 +293,6 @@
         )
         return path
 
-    def _write_configuration(self) -> None:
-        self._version += 1
-        self.store.append_record("keyed.op", "config", self._configuration())
-
     def _configuration(self) -> bytes:
         topology = self.topology
         routes = [
@@ -312,7 +320,7 @@
             "idleTimeoutMs": 15000,
         }
         document = {
-            "version": f"r{self._version}",
+            "version": f"r{self.version}",
             "routes": routes,
             "services": services,
             "limits": limits,
