--- a/anviltray/decisions/limits/__init__.py
+++ b/anviltray/decisions/limits/__init__.py
@@ -14,6 +14,7 @@
 from anviltray.decisions.limits._allotments import (
     HOST_GRANT_S,
     MAX_TOKENS,
+    UNKNOWN_RETRY_AFTER_S,
     ZONE_LOAN_S,
     AllotmentBounds,
     AllotmentLedger,
@@ -36,6 +37,7 @@
     "GROUPS",
     "HOST_GRANT_S",
     "MAX_TOKENS",
+    "UNKNOWN_RETRY_AFTER_S",
     "VOTE_LIFETIME_S",
     "ZONE_LOAN_S",
     "Admission",
--- a/anviltray/decisions/limits/_allotment_votes.py
+++ b/anviltray/decisions/limits/_allotment_votes.py
@@ -7,7 +7,7 @@
 No two hosts may grant the same part, also while hosts do not hear each other or are suspended. Each
 host has one vote for each group of accounts, and a granting host grants by the votes that it holds.
 A vote is lent for a short time: the receiver counts that time from the beacon that the vote
-responds to, and the voter from the moment it responds, which is later. So a vote never counts
+responds to, and the voter from the arrival of that beacon, which is later. So a vote never counts
 twice, whatever is lost, late or duplicated.
 """
 
@@ -71,17 +71,24 @@
         self._pledges = [_Pledge("", 0, 0, until_s)] * GROUPS
 
     def pledge(
-        self, now_s: float, leader: str, incarnation: int, sequence: int, groups: int
+        self,
+        now_s: float,
+        heard_s: float,
+        leader: str,
+        incarnation: int,
+        sequence: int,
+        groups: int,
     ) -> int:
-        """Votes for a host in response to its beacon; returns the groups it gets votes for.
+        """Votes for a host in response to its beacon, which came at `heard_s`.
 
-        `groups` and the result are bit masks. A vote that another host may still count stays there.
+        Returns the groups it gets votes for, as a bit mask like `groups`. A vote that another host
+        may still count stays there.
         """
         given = 0
-        pledge = _Pledge(leader, incarnation, sequence, now_s + VOTE_LIFETIME_S)
         for group, current in enumerate(self._pledges):
             if groups >> group & 1 and (current.leader == leader or current.until_s <= now_s):
-                self._pledges[group] = pledge
+                until_s = max(heard_s + VOTE_LIFETIME_S, current.until_s)
+                self._pledges[group] = _Pledge(leader, incarnation, sequence, until_s)
                 given |= 1 << group
         return given
 
@@ -92,6 +99,14 @@
             if same_process and current.sequence < sequence:
                 self._pledges[group] = current._replace(until_s=now_s)
 
+    def held_by(self, now_s: float, leader: str) -> int:
+        """Returns the groups for which a host may count the vote, as a bit mask."""
+        return sum(
+            1 << group
+            for group, pledge in enumerate(self._pledges)
+            if pledge.leader == leader and pledge.until_s > now_s
+        )
+
     def holder(self, now_s: float, group: int) -> str:
         """Returns the host that may count the vote for a group, or an empty string."""
         pledge = self._pledges[group]
--- a/anviltray/decisions/limits/_allotments.py
+++ b/anviltray/decisions/limits/_allotments.py
@@ -37,7 +37,7 @@
 _DEMAND_TIME_S = 0.5  # Time constant of the average of the demand.
 _MIN_LOAN = 0.05  # Smaller amounts are not worth a datagram.
 _ROUNDING = 1e-9
-_UNKNOWN_RETRY_AFTER_S = 1.0  # Retry-After while no host grants; about the time of a handover.
+UNKNOWN_RETRY_AFTER_S = 1.0  # Retry-After while no host grants; about the time of a handover.
 _MIN_RETRY_AFTER_S = 0.05
 # An account without requests for this many windows is forgotten once its part has filled up.
 _IDLE_WINDOWS = 2
@@ -220,7 +220,7 @@
         entry = self._entry(now_s, account)
         rate_per_s = entry.part.rate_per_s * self.votes[group_of(account.name)].share
         if rate_per_s <= 0.0:
-            return _UNKNOWN_RETRY_AFTER_S
+            return UNKNOWN_RETRY_AFTER_S
         limit = rate_per_s * self._bounds.window_s
         drained = rate_per_s * max(0.0, now_s - entry.backlog_s)
         entry.backlog = min(limit, max(0.0, entry.backlog - drained) + 1.0)
--- a/anviltray/edge/_allotments.py
+++ b/anviltray/edge/_allotments.py
@@ -13,6 +13,7 @@
     GROUPS,
     HOST_GRANT_S,
     MAX_TOKENS,
+    UNKNOWN_RETRY_AFTER_S,
     VOTE_LIFETIME_S,
     ZONE_LOAN_S,
     AllotmentBounds,
@@ -33,6 +34,7 @@
 
 _TICK_S = 0.25
 _LOG_INTERVAL_S = 10.0
+_DROP_INTERVAL_S = 3.0  # Interval at which idle accounts and hosts that are gone are looked for.
 # The granting host replies within a millisecond, or after it has asked other zones.
 _GRANT_TIMEOUT_S = 0.05
 # Replies of other zones, in the region and outside; the longest round trip takes 16 ms.
@@ -41,11 +43,12 @@
 # After this many timeouts in a row, a granting host is not asked for `_SILENCE_S`.
 _MAX_TIMEOUTS = 2
 _SILENCE_S = 0.3
-# After another zone has lent nothing of an account, it is not asked for more.
+# After another zone has lent nothing of an account, it is not asked for this long.
 _EXHAUSTED_S = 0.2
 _PREFETCH_S = 0.1  # Demand for which a host that gets many requests of an account asks at once.
-_MAX_WAITING = 1000  # Requests of other hosts that wait for a loan at the same time.
+_MAX_WAITING = 1000  # Requests that wait for votes or loans at the same time.
 _MAX_BEACONS = 64  # Own beacons that votes may respond to.
+_UNKNOWN_ACCOUNT_RETRY_S = 0.3  # Hosts of a zone differ in their configuration for about as long.
 _MAX_RETRY_AFTER_S = 3600.0  # Replies that claim more are ignored.
 _MAX_KNOWN_HOSTS = 100_000  # Votes of hosts that claim to know more are ignored.
 
@@ -107,10 +110,14 @@
         self._clock, self._exchange, self._rng = clock, exchange, rng
         self._accounts, self._is_ready = accounts, is_ready
         self._ledger = AllotmentLedger(now_s, bounds, len(settings.zone_regions))
+        self._votes_due_s = now_s + (0.0 if settings.first_start else VOTE_LIFETIME_S)
+        self._start_waiters = 0
         self._book = VoteBook(now_s, first_start=settings.first_start)
         self._latest_accounts: Mapping[str, ClientAccount] = {}
         self._has_limits = False  # Whether there is an account with a limited rate.
         self._leaders: tuple[str, ...] = ()
+        # The latest beacon of each granting host, with the time of its arrival.
+        self._latest_beacons: dict[str, tuple[float, HostBeacon]] = {}
         self._beacons: dict[int, float] = {}  # Send time of own beacons by sequence.
         self._incarnation = 0  # That of the latest beacon.
         self._number = rng.getrandbits(48)
@@ -122,6 +129,7 @@
         self._other_zones: Mapping[str, tuple[str, ...]] = {}
         self._borrowing: dict[str, asyncio.Task[None]] = {}
         self._waiting: set[asyncio.Task[None]] = set()
+        self._grants = False  # Whether this host grants, for the log.
         self._refused: Counter[str] = Counter()  # Since the latest log line, by account.
         exchange.register_handler(AllotmentVote, self._handle_vote)
         exchange.register_handler(AllotmentRequest, self._handle_request)
@@ -130,23 +138,55 @@
 
     # Requests of this host
 
-    async def acquire(self, name: str) -> AllottedRequest | OverAllotment | None:
-        """Takes one request out of the allotted rate of an account; None if it has no limit."""
+    async def acquire(
+        self, name: str, patience_s: float = 0.0
+    ) -> AllottedRequest | OverAllotment | None:
+        """Takes one request out of the allotted rate of an account; None if it has no limit.
+
+        Shortly after the start of this host it may wait for up to `patience_s`.
+        """
         account = self._find(name)
         if account is None:
             return None
-        now_s = self._clock.now_s()
-        self._ledger.record_request(now_s, account)
-        request = self._ledger.take(now_s, account)
+        self._ledger.record_request(self._clock.now_s(), account)
+        result = await self._try_acquire(account)
+        if (
+            isinstance(result, OverAllotment)
+            and result.retry_after_s == UNKNOWN_RETRY_AFTER_S
+            and await self._wait_for_votes(patience_s)
+        ):
+            result = await self._try_acquire(account)
+        if isinstance(result, OverAllotment):
+            self.counters["refused"] += 1
+            self._refused[name] += 1
+        else:
+            self.counters["acquired"] += 1
+        return result
+
+    async def _wait_for_votes(self, patience_s: float) -> bool:
+        """Waits until hosts that have started together with this one can have voted.
+
+        Returns whether it has waited. Requests that wait go on one after the other, as their rate
+        accrues from then on.
+        """
+        due_s = self._votes_due_s - self._clock.now_s()
+        if not 0.0 < due_s < patience_s or self._start_waiters >= _MAX_WAITING:
+            return False
+        self._start_waiters += 1
+        try:
+            await asyncio.sleep(due_s + self._rng.random() * (patience_s - due_s))
+        finally:
+            self._start_waiters -= 1
+        return True
+
+    async def _try_acquire(self, account: ClientAccount) -> AllottedRequest | OverAllotment:
+        request = self._ledger.take(self._clock.now_s(), account)
         retry_after_s = 0.0
         if request is None:
             retry_after_s = await self._replenish(account)
             request = self._ledger.take(self._clock.now_s(), account)
         if request is not None:
-            self.counters["acquired"] += 1
             return request
-        self.counters["refused"] += 1
-        self._refused[name] += 1
         if not retry_after_s:
             retry_after_s = self._ledger.retry_after_s(self._clock.now_s(), account)
         return OverAllotment(retry_after_s)
@@ -277,7 +317,7 @@
         reply = await self._ask(host, account, zone, tokens, ZONE_LOAN_S)
         if reply is None:
             self._zone_leaders.pop(key, None)
-        elif reply.tokens <= 0.0:
+        if reply is None or reply.tokens <= 0.0:
             self._exhausted_s[account.name, zone] = self._clock.now_s() + _EXHAUSTED_S
 
     # Requests of other hosts
@@ -285,11 +325,14 @@
     def _handle_request(self, message: AllotmentRequest) -> None:
         account = self._accounts().get(message.account)
         known = self._exchange.hosts.zone_of(message.host) == message.zone
-        if account is None or not known or not 0.0 < message.tokens <= MAX_TOKENS:
+        if not known or not 0.0 < message.tokens <= MAX_TOKENS:
             self.counters["ignored"] += 1
             return
         now_s = self._clock.now_s()
-        if account.rate_per_s <= 0:
+        if account is None:
+            # The account is new, and this host has an older configuration.
+            self._reply(message, 0.0, _UNKNOWN_ACCOUNT_RETRY_S)
+        elif account.rate_per_s <= 0:
             # The limit is new, and this host has an older configuration.
             self._reply(message, message.tokens, 0.0)
         elif message.zone == self._zone:
@@ -338,16 +381,20 @@
         if beacon.state == "leaving":
             self._book.release(now_s, beacon.host, beacon.incarnation, beacon.sequence)
             return
-        groups = self._groups_of(beacon.host)
-        if not groups:
-            return
-        groups = self._book.pledge(now_s, beacon.host, beacon.incarnation, beacon.sequence, groups)
+        if beacon.host in self._leaders:
+            self._latest_beacons[beacon.host] = (now_s, beacon)
+            self._vote_for(now_s, beacon, self._groups_of(beacon.host))
+
+    def _vote_for(self, heard_s: float, beacon: HostBeacon, groups: int) -> None:
+        """Responds to a beacon, which came at `heard_s`, with the votes that are free."""
+        sequence = beacon.sequence
+        groups = self._book.pledge(
+            self._clock.now_s(), heard_s, beacon.host, beacon.incarnation, sequence, groups
+        )
         if groups:
             hosts = len(self._exchange.hosts.zone_peers()) + 1
-            self._exchange.send(
-                beacon.host,
-                AllotmentVote(self._own, beacon.incarnation, beacon.sequence, groups, hosts),
-            )
+            vote = AllotmentVote(self._own, beacon.incarnation, sequence, groups, hosts)
+            self._exchange.send(beacon.host, vote)
 
     def _handle_vote(self, message: AllotmentVote) -> None:
         sent_s = self._beacons.get(message.sequence)
@@ -396,26 +443,35 @@
         knows_fleet = self._alone or bool(peers) or bool(self._other_zones)
         self._leaders = choose_leaders(ready) if knows_fleet else ()
         groups = self._groups_of(self._own)
+        now_s = self._clock.now_s()
         if groups:
-            now_s = self._clock.now_s()
-            groups = self._book.pledge(now_s, self._own, self._incarnation, 0, groups)
+            groups = self._book.pledge(now_s, now_s, self._own, self._incarnation, 0, groups)
             self._count(self._own, groups, now_s + VOTE_LIFETIME_S, len(peers) + 1)
+        # Votes that were not free when the latest beacon came.
+        for heard_s, beacon in self._latest_beacons.values():
+            groups = self._groups_of(beacon.host) & ~self._book.held_by(now_s, beacon.host)
+            if groups and now_s < heard_s + VOTE_LIFETIME_S:
+                self._vote_for(heard_s, beacon, groups)
 
     async def run(self) -> None:
         """Votes and drops old state until cancelled."""
-        next_log_s = 0.0
+        next_log_s = next_drop_s = 0.0
         while True:
             now_s = self._clock.now_s()
             if now_s >= next_log_s:
                 next_log_s = now_s + _LOG_INTERVAL_S
-                self._other_zones = self._exchange.hosts.other_zones()
                 self._log()
+            if now_s >= next_drop_s:
+                next_drop_s = now_s + _DROP_INTERVAL_S
+                self._other_zones = self._exchange.hosts.other_zones()
+                self._ledger.drop_idle(now_s)
             self._vote()
             self._drop_old(now_s)
-            await asyncio.sleep(_TICK_S)
+            self._log_granting(now_s)
+            due_s = self._votes_due_s - self._clock.now_s()
+            await asyncio.sleep(due_s if 0.0 < due_s < _TICK_S else _TICK_S)
 
     def _drop_old(self, now_s: float) -> None:
-        self._ledger.drop_idle(now_s)
         for number in [
             number
             for number, asked in self._asked.items()
@@ -424,8 +480,23 @@
             del self._asked[number]
         _drop_past(self._exhausted_s, now_s)
         _drop_past(self._silent_s, now_s)
-        for host in self._timeouts.keys() - set(self._leaders):
-            del self._timeouts[host]
+        for by_host in (self._timeouts, self._latest_beacons):
+            for host in by_host.keys() - set(self._leaders):
+                by_host.pop(host)
+
+    def _log_granting(self, now_s: float) -> None:
+        """Logs when this host starts or ceases to grant most of the part of its zone."""
+        shares = []
+        for votes in self._ledger.votes:
+            votes.advance(now_s)
+            shares.append(votes.share)
+        grants = max(shares) >= 0.5
+        if grants != self._grants:
+            self._grants = grants
+            _log.info(
+                "grants allotted rates" if grants else "grants allotted rates no longer",
+                extra={"share": round(sum(shares) / GROUPS, 3), "leaders": self._leaders},
+            )
 
     def _log(self) -> None:
         if self.counters:
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -52,6 +52,8 @@
 # Interval at which a request without a response looks for a free instance and a retry for a second
 # attempt, if there were none at first.
 _HEDGE_RETRY_INTERVAL_S = 0.2
+# Part of a request's time in which it waits for its allotted rate while the host starts.
+_ALLOTMENT_WAIT_SHARE = 1 / 4
 _DEFAULT_RETRY_AFTER_S = 0.4  # Retry-After if placement gives no estimate.
 _MIN_RETRY_AFTER_S = 0.1  # Retry-After if another host can serve the request at once.
 
@@ -225,7 +227,8 @@
             await call.body.buffer_if_short()
         if not self._state.accepts_requests:
             return self._end_with_problem(call, _STOPPING)
-        allotted = await self._allotments.acquire(call.account)
+        patience_s = call.remaining_s() * _ALLOTMENT_WAIT_SHARE
+        allotted = await self._allotments.acquire(call.account, patience_s)
         if isinstance(allotted, OverAllotment):
             retry_after_s = round(allotted.retry_after_s, 2)
             return self._end_with_problem(
