Rank granting hosts by the order of the serving hosts

The number of ready hosts of a zone follows the traffic, and granting hosts were ranked among them by a hash of their own. So the granting host often changed just as traffic rose, and the new one began without a burst. They are the first serving hosts now, and groups go to them by rendezvous hashing, so that one host more moves only its own groups.

make check passes, and so do decisions/limits, edge/tests/test_allotments.py and test_serving.py.

--- a/anviltray/decisions/limits/_allotment_votes.py
+++ b/anviltray/decisions/limits/_allotment_votes.py
@@ -11,7 +11,7 @@
 twice, whatever is lost, late or duplicated.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from typing import NamedTuple
 
 import xxhash
@@ -29,16 +29,24 @@
 
 def group_of(account: str) -> int:
     """Returns the group of an account."""
-    return xxhash.xxh3_64_intdigest(account.encode()) % GROUPS
+    return _rank(account) % GROUPS
 
 
-def choose_leaders(hosts: Iterable[str]) -> tuple[str, ...]:
-    """Returns the hosts that grant for a zone, by the order of a hash, out of its ready `hosts`.
+def choose_leaders(ready: Collection[str], alive: int) -> tuple[str, ...]:
+    """Returns the host that grants each group of accounts for a zone; empty if no host is ready.
 
-    The leader of group `g` is `leaders[g % len(leaders)]`.
+    They are the first `ready` hosts in the order of a hash, one for each 32 of the hosts that are
+    `alive`. A host that is added or removed further down in the order changes nothing; it is the
+    order of the serving hosts (`decisions.entry`), whose number follows the traffic.
     """
-    ranked = sorted(hosts, key=lambda host: xxhash.xxh3_64_intdigest(f"{host}\0allot".encode()))
-    return tuple(ranked[: min(GROUPS, 1 + len(ranked) // _HOSTS_PER_LEADER)])
+    if not ready:
+        return ()
+    first = sorted(ready, key=_rank)[: 1 + alive // _HOSTS_PER_LEADER]
+    return tuple(max(first, key=lambda host: _rank(f"{group}\0{host}")) for group in range(GROUPS))
+
+
+def _rank(text: str) -> int:
+    return xxhash.xxh3_64_intdigest(text.encode())
 
 
 def granted_share(votes: int, hosts: int) -> float:
--- a/anviltray/edge/_allotments.py
+++ b/anviltray/edge/_allotments.py
@@ -115,7 +115,7 @@
         self._book = VoteBook(now_s, first_start=settings.first_start)
         self._latest_accounts: Mapping[str, ClientAccount] = {}
         self._has_limits = False  # Whether there is an account with a limited rate.
-        self._leaders: tuple[str, ...] = ()
+        self._leaders: tuple[str, ...] = ()  # Granting hosts by group.
         # The latest beacon of each granting host, with the time of its arrival.
         self._latest_beacons: dict[str, tuple[float, HostBeacon]] = {}
         self._beacons: dict[int, float] = {}  # Send time of own beacons by sequence.
@@ -228,7 +228,7 @@
             return holder
         if not self._leaders:
             self._vote()
-        return self._leaders[group % len(self._leaders)] if self._leaders else ""
+        return self._leaders[group] if self._leaders else ""
 
     async def _ask(
         self, host: str, account: ClientAccount, zone: str, tokens: float, lifetime_s: float
@@ -418,11 +418,7 @@
 
     def _groups_of(self, host: str) -> int:
         """Returns the groups that this host has another one grant, as a bit mask."""
-        count, groups = len(self._leaders), 0
-        for position, leader in enumerate(self._leaders):
-            if leader == host:
-                groups |= sum(1 << group for group in range(position, GROUPS, count))
-        return groups
+        return sum(1 << group for group, leader in enumerate(self._leaders) if leader == host)
 
     def _vote(self) -> None:
         """Chooses the granting hosts, and votes for this one if it is among them."""
@@ -433,15 +429,14 @@
         if not self._has_limits:
             self._leaders = ()
             return
-        ready = {
-            host.beacon.host for host in self._exchange.alive() if host.beacon.state == "ready"
-        }
+        alive = [host.beacon for host in self._exchange.alive()]
+        ready = {beacon.host for beacon in alive if beacon.state == "ready"}
         peers = self._exchange.hosts.zone_peers()
         if self._is_ready():
             ready.add(self._own)
         # A host that has not yet heard of any other one cannot know how large its part is.
         knows_fleet = self._alone or bool(peers) or bool(self._other_zones)
-        self._leaders = choose_leaders(ready) if knows_fleet else ()
+        self._leaders = choose_leaders(ready, len(alive) + 1) if knows_fleet else ()
         groups = self._groups_of(self._own)
         now_s = self._clock.now_s()
         if groups:
@@ -495,7 +490,10 @@
             self._grants = grants
             _log.info(
                 "grants allotted rates" if grants else "grants allotted rates no longer",
-                extra={"share": round(sum(shares) / GROUPS, 3), "leaders": self._leaders},
+                extra={
+                    "share": round(sum(shares) / GROUPS, 3),
+                    "leaders": sorted(set(self._leaders)),
+                },
             )
 
     def _log(self) -> None:
@@ -503,7 +501,7 @@
             _log.info(
                 "allotments",
                 extra={
-                    "leaders": self._leaders,
+                    "leaders": sorted(set(self._leaders)),
                     "share": round(sum(votes.share for votes in self._ledger.votes) / GROUPS, 3),
                     "accounts": len(self._ledger),
                     "refused": dict(self._refused.most_common(5)),
