--- a/anviltray/edge/_allotments.py
+++ b/anviltray/edge/_allotments.py
@@ -342,10 +342,12 @@
                 self._reply(message, tokens, 0.0)
                 if self._ledger.missing(now_s, account) > 1.0:
                     self._start_borrowing(account)
-            elif len(self._waiting) < _MAX_WAITING:
+            elif len(self._waiting) < _MAX_WAITING and self._start_borrowing(account) is not None:
                 task = asyncio.create_task(self._grant_borrowed(message, account))
                 self._waiting.add(task)
                 task.add_done_callback(self._waiting.discard)
+            else:
+                self._reply(message, 0.0, self._ledger.retry_after_s(now_s, account))
         elif (leader := self._leader(group_of(account.name))) in ("", self._own):
             tokens = self._ledger.lend(now_s, account, message.tokens)
             self.counters["lent"] += tokens > 0.0
