--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
 from random import Random
 
 from anviltray.decisions.accounts import AccountIndex
@@ -69,8 +68,7 @@
         self._routes = PrefixIndex()
         self._rng = rng
         self.fleet_size = 1  # Known hosts of the fleet, including this one.
-        # What a client account is owed of a service that is short of room, relative to the others.
-        self.account_weight: Callable[[str], float] = lambda account: 1.0
+        self._mean_rate_s = 1.0  # Mean of the allotted rates of the accounts that have one.
         self.serving_hosts = 1  # Hosts of the zone that have callers, including this one.
         self._slack = 0.0  # This host's part of the fleet's retry slack.
         self._slack_enabled = False
@@ -85,6 +83,9 @@
         self.accounts = accounts
         if accounts is not None:
             self.account_index = accounts
+        rates_s = [each.rate_per_s for each in (configuration.accounts or {}).values()]
+        limited = [rate_s for rate_s in rates_s if rate_s > 0]
+        self._mean_rate_s = sum(limited) / len(limited) if limited else 1.0
         self._divide_connections()
         self._routes = PrefixIndex(configuration.routes)
         previous = self._service_choices
@@ -97,6 +98,16 @@
         self.response_times.keep_only(frozenset(self._service_choices))
         self.unserved.keep_only(configuration.services)
 
+    def account_weight(self, account: str) -> float:
+        """Returns what an account is owed of a service that is short of room, in requests/s.
+
+        Only the ratio between accounts matters. Those without an allotted rate, and requests
+        without an account, count like an average account.
+        """
+        accounts = None if self.configuration is None else self.configuration.accounts
+        found = None if accounts is None else accounts.get(account)
+        return self._mean_rate_s if found is None else found.rate_per_s or self._mean_rate_s
+
     def _divide_connections(self) -> None:
         """Divides the connections that an instance accepts among the hosts.
 
