Pass over the turns of lost hosts when the zone has not read in time

Cause: hosts on standby seem alive for 2.5 s after they are lost, and each place before a host in the order of readers made it wait 0.08 s more, also those of lost hosts.

Change: once the first host should have read, hosts whose next beacon is overdue come last in the order. Before that a lost beacon changes nothing, so calm zones and a slow store see the same order.

--- a/anviltray/decisions/following/_reader.py
+++ b/anviltray/decisions/following/_reader.py
@@ -26,15 +26,22 @@
 
     host: str  # IP address of the host.
     reaches_store: bool  # Its last call to the store succeeded.
+    is_overdue: bool = False  # Its next beacon should have arrived.
 
 
-def read_rank(host: str, views: Iterable[StoreView]) -> int:
+def read_rank(host: str, views: Iterable[StoreView], read_age_s: float = 0.0) -> int:
     """Returns the position of `host` in the order in which the hosts of the zone read the store.
 
     All hosts compute the same order. The hosts that do not reach the store come after those that
-    do, and none of them waits for configurations.
+    do, and none of them waits for configurations. Once the first host should have read, those whose
+    beacons are overdue come last too: if many hosts are lost at once, the others need not wait for
+    the turns of each of them. Before that, a lost beacon changes nothing.
     """
-    views = tuple(views)
+    late = read_age_s >= READ_INTERVAL_S + FAILOVER_S
+    views = tuple(
+        view._replace(reaches_store=view.reaches_store and not (late and view.is_overdue))
+        for view in views
+    )
     reachable = sorted((view.host for view in views if view.reaches_store), key=_hash)
     if host in reachable:
         return reachable.index(host)
--- a/anviltray/decisions/following/tests/test_reader.py
+++ b/anviltray/decisions/following/tests/test_reader.py
@@ -11,6 +11,7 @@
     read_after_s,
     read_rank,
 )
+from anviltray.decisions.following._reader import FAILOVER_S
 
 HOSTS = [f"10.0.0.{number}" for number in range(12)]
 # Requests to a draining instance are allowed for this long.
@@ -59,3 +60,20 @@
     assert READ_INTERVAL_S < read_ages_s[reached] < DRAIN_S - 0.25
     # No host reads later than one place after all others for each reader of configurations.
     assert read_ages_s[-1] <= read_after_s(len(HOSTS) - 1 + CONFIGURATION_READERS)
+
+
+@pytest.mark.parametrize(
+    ("read_age_s", "overdue", "rank"),
+    [
+        (READ_INTERVAL_S, 10, 10),
+        (READ_INTERVAL_S + FAILOVER_S, 10, 0),
+        (READ_INTERVAL_S + FAILOVER_S, 3, 7),
+        (READ_INTERVAL_S + FAILOVER_S, 0, 10),
+    ],
+)
+def test_hosts_that_seem_lost_do_not_keep_the_others_from_reading(read_age_s, overdue, rank):
+    order = sorted(
+        HOSTS, key=lambda host: read_rank(host, [StoreView(each, True) for each in HOSTS])
+    )
+    views = [StoreView(host, True, number < overdue) for number, host in enumerate(order)]
+    assert read_rank(order[10], views, read_age_s) == rank
--- a/anviltray/zone/_exchange.py
+++ b/anviltray/zone/_exchange.py
@@ -23,6 +23,7 @@
     encode_message,
 )
 from anviltray.zone._hosts import (
+    BEACON_INTERVAL_S,
     STANDBY,
     STANDBY_INTERVAL_S,
     HostTable,
@@ -32,7 +33,6 @@
 
 _log = logbook.Logger("anviltray.zone")
 
-BEACON_INTERVAL_S = 0.5
 # Larger datagrams are fragmented, and the loss of one fragment loses the whole datagram.
 MAX_DATAGRAM_BYTES = 8192
 
--- a/anviltray/zone/_hosts.py
+++ b/anviltray/zone/_hosts.py
@@ -7,6 +7,7 @@
 
 from anviltray.messages import HostBeacon, HostLocality
 
+BEACON_INTERVAL_S = 0.5
 # A host without a beacon for this long gets no callers. Spans a few beacons, as some may be lost.
 HOST_TIMEOUT_S = 1.5
 # Hosts in this state are ready, but so far down in the order of the zone that callers are not told
@@ -39,6 +40,11 @@
         timeout_s = _STANDBY_TIMEOUT_S if self.beacon.state == STANDBY else HOST_TIMEOUT_S
         return now_s - self.last_seen_s < timeout_s
 
+    def is_overdue(self, now_s: float) -> bool:
+        """Returns whether its next beacon should have arrived; it may be lost, as may the host."""
+        interval_s = STANDBY_INTERVAL_S if self.beacon.state == STANDBY else BEACON_INTERVAL_S
+        return now_s - self.last_seen_s > interval_s + BEACON_INTERVAL_S / 2
+
 
 class HostTable:
     """All known hosts of the fleet, with the latest beacons of those in this zone."""
--- a/anviltray/zone/_outages.py
+++ b/anviltray/zone/_outages.py
@@ -5,7 +5,8 @@
 import logbook
 
 from anviltray.decisions.instances import InstanceDirectory
-from anviltray.zone._exchange import BEACON_INTERVAL_S, ZoneExchange
+from anviltray.zone._exchange import ZoneExchange
+from anviltray.zone._hosts import BEACON_INTERVAL_S
 from anviltray.zone._replica import StoreReplica
 
 _log = logbook.Logger("anviltray.store")
--- a/anviltray/zone/_store_reader.py
+++ b/anviltray/zone/_store_reader.py
@@ -68,12 +68,13 @@
         return self._own_read_rank
 
     def _compute_read_rank(self) -> int:
+        now_s = self._loop.time()
         views = [StoreView(self._own.address, self.reaches_store)]
         views += [
-            StoreView(host.beacon.host, host.beacon.reaches_store)
+            StoreView(host.beacon.host, host.beacon.reaches_store, host.is_overdue(now_s))
             for host in self._exchange.alive()
         ]
-        return read_rank(self._own.address, views)
+        return read_rank(self._own.address, views, self._replica.read_age_s())
 
     async def read_instances(self) -> None:
         """Reads the changes of registrations and sends them to the zone; raises PlatformError."""
