--- a/anviltray/edge/_attempts.py
+++ b/anviltray/edge/_attempts.py
@@ -140,6 +140,7 @@
             remaining_s, head.request_id
         )
         headers.append((self._instance_header, placed.instance.id))
+        headers.extend(call.admitted.account_headers)
         source = body.source()
         if source is not None and not isinstance(source, bytes) and not body.chunked:
             headers.append(("Content-Length", str(body.length)))
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -77,8 +77,9 @@
         settings: CallerSettings,
         caller_headers: CallerHeaders,
         instance_header: str,
+        account_header: str,
     ) -> None:
-        """`instance_header` is the name of the header with the only instance that may respond."""
+        """The headers name the only instance that may respond, and the account of the caller."""
         self._state = state
         self._loans = loans
         self._metrics = metrics
@@ -87,7 +88,7 @@
         self._load_waiters = 0
         self._load_due_s = self._loop.time() + _LOAD_GRACE_S
         self.set_limits(settings)
-        self._admission = RequestAdmission(state)
+        self._admission = RequestAdmission(state, metrics.count, account_header)
         self._waits = InstanceWaits(state, metrics, Random())
         self._attempts = InstanceAttempts(state, self._waits, metrics, instance_header)
 
@@ -158,14 +159,7 @@
         """Responds to a request that the configuration does not admit."""
         self._respond_problem(exchange, head, problem)
         self._metrics.record_response("unrouted", problem.status, 0.0)
-        _log.info(
-            problem.name,
-            extra={
-                "id": head.request_id,
-                "status": problem.status,
-                "version": self._configuration_version,
-            },
-        )
+        self._admission.log_rejection(head, problem)
 
     async def _wait_for_load(self, head: RequestHead) -> None:
         """Waits until the host has loaded its state, at most for a part of the request's time."""
@@ -240,7 +234,9 @@
         progress = RequestProgress(_REFUSED)
         # Timers are late after a suspension of the host, so each attempt checks the time.
         while call.remaining_s() > 0:
-            placed = await self._waits.place(call, partial(self._choose_instance, call, progress))
+            placed = await self._place(call, progress)
+            if isinstance(placed, Problem):
+                return self._end_with_problem(call, placed)
             if isinstance(placed, Shed):
                 call.history.append({"shed": placed._asdict()})
                 retry_after_s = round(placed.retry_after_s, 2)
@@ -260,6 +256,23 @@
         problem = _UPSTREAM_FAILED if progress.may_have_executed else progress.problem
         return self._end_with_problem(call, problem)
 
+    async def _place(self, call: EdgeCall, progress: RequestProgress) -> Placed | Shed | Problem:
+        """Chooses an instance, again if the request belongs to another service after its wait.
+
+        Returns a problem if the configuration has ceased to admit the request.
+        """
+        while True:
+            service = call.service
+            placed = await self._waits.place(call, partial(self._choose_instance, call, progress))
+            if call.sent or isinstance(placed, Shed):
+                return placed
+            admitted = self._admission.renew(call.head, call.admitted)
+            if isinstance(admitted, Problem):
+                return admitted
+            call.set_admitted(admitted)
+            if call.service == service:
+                return placed
+
     def _choose_instance(
         self, call: EdgeCall, progress: RequestProgress, max_load: float
     ) -> Placed | Shed:
