Hold back less urgent requests only in a real shortage; drop a limit of exploration

Cause: (1) three rejected requests in a hundred made a service short of room, so less urgent requests were held back for seconds after each burst. (2) The turns of a priority went on from its earlier requests, so every fourth start could pass by a less urgent one that had been served much before.

Change: (1) a tenth, and 3 % of more urgent requests. (2) Every fourth start goes to the priority whose latest start is the longest ago. The slowness of an instance is in the log of each send, a negative priority counts as 0.

--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -53,12 +53,6 @@
 # The same for requests that must not be repeated. It is longer, so that idempotent requests explore
 # first where there are enough of them.
 _DEGRADED_UNREPEATABLE_INTERVAL_S = 1.3
-# Requests that must not be repeated do not explore an instance in this case that resets connections
-# with a higher probability, which falls below it 2.8 s after two resets in a row. Without the limit
-# a service with few idempotent requests loses one request in 25 to exploration. The limit ends
-# before the share of unserved requests is a tenth, as most healthy instances must be in use then.
-_MAX_RESET_PROBABILITY = 0.75
-_MAX_LIMITED_UNSERVED_SHARE = 0.085
 # Share of the requests that explore in this case. All hosts see at the same time that an instance
 # is due, and what the first request finds out takes a moment to reach the others.
 _DEGRADED_EXPLORE_SHARE = 0.5
@@ -75,6 +69,9 @@
 _RESET_EXPLORE_INTERVAL_S = 1.7
 # A request that would be shed explores an uncertain instance instead after this interval.
 _SHED_EXPLORE_INTERVAL_S = 0.8
+# One that must not be repeated and could also wait explores only instances that reset connections
+# with this probability at most. After two resets in a row it is higher for 2.8 s.
+_MAX_WAITING_EXPLORE_PROBABILITY = 0.75
 # Maximum share of the remaining time that the expected response time may take, by priority. Under
 # overload the requests of lower priority are shed first.
 _DEADLINE_SHARES = (0.9, 0.75, 0.6)
@@ -121,6 +118,7 @@
     unhealthy_probability: float  # Probability that the instance is unhealthy.
     evidence_age_s: float  # Age of the latest evidence about it.
     explores: bool  # Whether the request probes an uncertain instance.
+    slowness: float = 1.0  # Service time of the instance relative to the mean of the service.
 
 
 class Shed(NamedTuple):
@@ -223,7 +221,7 @@
             best = self._best_of(now_s, request, all_tiers)
         if best is None:
             return Shed(self._retry_after_s(self._wait_s(now_s, request, instances)), 0.0, 0)
-        priority = min(request.priority, 2)
+        priority = max(0, min(request.priority, 2))
         allowed_s = min(
             request.remaining_s * _DEADLINE_SHARES[priority],
             request.target_s * _TARGET_FACTORS[priority],
@@ -231,11 +229,10 @@
         expected_s = self._expected_s(request.service, best, allowed_s)
         if expected_s > allowed_s or best.load > request.max_load:
             interval_s = _forced_interval_s(request, _SHED_EXPLORE_INTERVAL_S)
-            # A request that only waits otherwise is not worth an attempt that will fail.
-            waits = expected_s <= allowed_s
-            exploration = _Exploration(
-                interval_s, max_probability=_max_reset_probability(request) if waits else 1.0
-            )
+            # One that could also wait is not lost to an instance that probably resets it.
+            waits = expected_s <= allowed_s and not request.retryable
+            max_probability = _MAX_WAITING_EXPLORE_PROBABILITY if waits else 1.0
+            exploration = _Exploration(interval_s, max_probability=max_probability)
             explored = self._explore(now_s, request, tiers[0], exploration)
             if explored is not None:
                 return _placed(now_s, explored, explores=True)
@@ -368,7 +365,6 @@
                     0.0,
                     _ERROR_EXPLORE_INTERVAL_S,
                     _RESET_EXPLORE_INTERVAL_S,
-                    _max_reset_probability(request),
                     unused=True,
                 )
         if request.may_explore:
@@ -458,13 +454,6 @@
     return math.inf
 
 
-def _max_reset_probability(request: PlacementRequest) -> float:
-    """Returns the probability of resets above which a request does not explore an instance."""
-    if request.retryable or request.unserved_share > _MAX_LIMITED_UNSERVED_SHARE:
-        return 1.0
-    return _MAX_RESET_PROBABILITY
-
-
 def _failure_cost(request: PlacementRequest) -> float:
     return _RETRYABLE_FAILURE_COST if request.retryable else _NON_RETRYABLE_FAILURE_COST
 
@@ -478,4 +467,5 @@
         health.unhealthy_probability(now_s),
         now_s - health.last_evidence_s,
         explores,
+        candidate.slowness,
     )
--- a/anviltray/decisions/waiting/_queue.py
+++ b/anviltray/decisions/waiting/_queue.py
@@ -11,8 +11,8 @@
 from itertools import count
 from typing import NamedTuple
 
-# Every fourth start goes to the account that has received least of what it is owed, whatever the
-# priority. Accounts and kinds of requests must be served at least a quarter as often as all.
+# Every fourth start goes to the priority whose latest start is the longest ago. Kinds of requests
+# must be served at least a quarter as often as all.
 _ANY_PRIORITY_INTERVAL = 4
 _MIN_WEIGHT = 1e-6
 # Accounts without waiting requests whose last turns are remembered, beyond those that have some.
@@ -32,23 +32,25 @@
 class _Flow:
     """Waiting requests of one account and priority, in the order of their arrival."""
 
-    __slots__ = ("requests", "turn")
+    __slots__ = ("requests", "turn", "weight")
 
-    def __init__(self, turn: float) -> None:
+    def __init__(self, turn: float, weight: float) -> None:
         self.requests: deque[WaitingRequest] = deque()
+        self.weight = weight  # What the account is owed, relative to the others.
         self.turn = turn  # Requests started so far, divided by the weight of the account.
 
 
 class _Level:
     """Waiting requests of one priority."""
 
-    __slots__ = ("flows", "late", "order", "turn", "turns", "weight")
+    __slots__ = ("flows", "late", "order", "started", "turn", "turns", "weight")
 
     def __init__(self) -> None:
         self.flows: dict[str, _Flow] = {}
         # Heap of the turns of the flows; the number decides between equal turns.
         self.order: list[tuple[float, int, str]] = []
         self.late: deque[WaitingRequest] = deque()  # Those that miss their target anyway.
+        self.started = 0  # Number of the latest start.
         self.turn = 0.0  # Turn of the flow that started last.
         self.turns: dict[str, float] = {}  # Turns of flows without waiting requests.
         self.weight = 0.0  # Sum of the weights of the flows.
@@ -87,8 +89,8 @@
         if flow is None:
             # An account that had nothing to send has not saved up turns.
             turn = max(level.turn, level.turns.pop(request.account, 0.0))
-            flow = level.flows[request.account] = _Flow(turn)
-            level.weight += self._weight_of(request.account)
+            flow = level.flows[request.account] = _Flow(turn, self._weight_of(request.account))
+            level.weight += flow.weight
             heapq.heappush(level.order, (turn, next(self._numbers), request.account))
         flow.requests.append(request)
         self._live[request.ticket] = request
@@ -118,8 +120,7 @@
             return None
         priorities = sorted(self._level_counts)
         if (self._started + 1) % _ANY_PRIORITY_INTERVAL == 0:
-            heads = [self._level_head(now_s, self._levels[each]) for each in priorities]
-            return min((each for each in heads if each is not None), key=self._turn, default=None)
+            priorities.sort(key=lambda each: self._levels[each].started)
         for priority in priorities:
             head = self._level_head(now_s, self._levels[priority])
             if head is not None:
@@ -130,13 +131,15 @@
         """Removes a request that starts, and counts it for its account."""
         level = self._levels[request.priority]
         flow = level.flows.get(request.account)
-        turn = self._turn(request) + 1 / self._weight_of(request.account)
         if flow is None:
-            self._remember(level, request.account, turn)
+            # The last one of its account, and late.
+            turn = max(level.turn, level.turns.get(request.account, 0.0))
+            self._remember(level, request.account, turn + 1 / self._weight_of(request.account))
         else:
             level.turn = max(level.turn, flow.turn)
-            flow.turn = turn
+            flow.turn += 1 / flow.weight
         self._started += 1
+        level.started = self._started
         self.remove(request.ticket)
 
     def ahead_of(self, priority: int, account: str) -> float:
@@ -155,11 +158,6 @@
     def _weight_of(self, account: str) -> float:
         return max(_MIN_WEIGHT, self._weight(account))
 
-    def _turn(self, request: WaitingRequest) -> float:
-        level = self._levels[request.priority]
-        flow = level.flows.get(request.account)
-        return max(level.turn, level.turns.get(request.account, 0.0)) if flow is None else flow.turn
-
     def _level_head(self, now_s: float, level: _Level) -> WaitingRequest | None:
         while level.order:
             turn, _, account = level.order[0]
@@ -184,7 +182,7 @@
 
     def _drop_flow(self, level: _Level, account: str, flow: _Flow) -> None:
         del level.flows[account]
-        level.weight -= self._weight_of(account)
+        level.weight -= flow.weight
         self._remember(level, account, flow.turn)
 
     def _remember(self, level: _Level, account: str, turn: float) -> None:
--- a/anviltray/decisions/waiting/_shares.py
+++ b/anviltray/decisions/waiting/_shares.py
@@ -11,7 +11,9 @@
 _PRUNE_INTERVAL_S = 1.0
 _MIN_COUNT = 0.05  # Decayed counts below this are dropped.
 # A service is short of room while more than this share of its recent requests was rejected.
-_SHORTAGE_SHARE = 0.03
+_SHORTAGE_SHARE = 0.1
+# Less urgent requests are held back then while more than this share of urgent ones was rejected.
+_URGENT_SHORTAGE_SHARE = 0.03
 # Requests of a kind or an account that are served less often than this, relative to all, are never
 # held back. A quarter must be kept over any longer time; hosts see only a sample.
 _LEAST_RELATIVE_SHARE = 0.4
@@ -87,7 +89,7 @@
         own = self._priorities.get(priority)
         if own is not None and own.served_share > least:
             for each, counts in self._priorities.items():
-                short = counts.served_share < 1 - _SHORTAGE_SHARE
+                short = counts.served_share < 1 - _URGENT_SHORTAGE_SHARE
                 if each < priority and short and counts.offered >= _MIN_OFFERED:
                     return False
         return self._is_owed(now_s, account, started, least)
--- a/anviltray/decisions/waiting/tests/test_queue.py
+++ b/anviltray/decisions/waiting/tests/test_queue.py
@@ -29,6 +29,7 @@
         # Urgent requests first, but every fourth start goes to whoever had least.
         ("a1 b0 a0 b1", "b0 a0 a1 b1"),
         ("a0 a0 a0 a0 a0 b2", "a0 a0 a0 b2 a0 a0"),
+        ("a2 a0 a0 a0 a0 a0 a0 b1", "a0 a0 a0 b1 a0 a0 a0 a2"),
         # Accounts of one priority take turns, whatever they send.
         ("a0 a0 a0 a0 b0 c0", "a0 b0 c0 a0 a0 a0"),
         # An account that joins later has not saved up turns.
@@ -40,6 +41,19 @@
     assert start_all(waiting(*names), names) == order.split()
 
 
+def test_less_urgent_requests_start_after_many_that_started_before():
+    queue = waiting(*["a2"] * 20)
+    start_all(queue, ["a2"] * 20)
+    for ticket in range(100, 110):
+        queue.add(WaitingRequest(ticket, "b", 0, LATER_S, LATER_S))
+    queue.add(WaitingRequest(200, "a", 2, LATER_S, LATER_S))
+    order = []
+    while (head := queue.head(0.0)) is not None:
+        queue.start(head)
+        order.append(head.priority)
+    assert order.index(2) <= 4
+
+
 def test_accounts_are_served_in_proportion_to_what_they_are_owed():
     names = ["a0"] * 20 + ["b0"] * 20
     queue = waiting(*names, weight=lambda account: 3.0 if account == "a" else 1.0)
--- a/anviltray/edge/_waiting.py
+++ b/anviltray/edge/_waiting.py
@@ -102,7 +102,11 @@
             self._metrics.count("waits_refused")
             candidates = len(self._state.directory.usable(call.service))
             return Shed(verdict.retry_after_s, verdict.expected_s, candidates)
-        entry = {"waits_ms": 0, "expected_ms": round(verdict.expected_s * 1000), "ahead": ahead}
+        entry = {
+            "waits_ms": 0,
+            "expected_ms": round(verdict.expected_s * 1000),
+            "ahead": round(ahead, 1),
+        }
         call.history.append(entry)
         try:
             return await self._wait(service, call, _Waiter(choose, limit), now_s + wait_s)
