--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -121,6 +121,7 @@
     unhealthy_probability: float  # Probability that the instance is unhealthy.
     evidence_age_s: float  # Age of the latest evidence about it.
     explores: bool  # Whether the request probes an uncertain instance.
+    slowness: float = 1.0  # Service time of the instance relative to the mean of the service.
 
 
 class Shed(NamedTuple):
@@ -223,7 +224,7 @@
             best = self._best_of(now_s, request, all_tiers)
         if best is None:
             return Shed(self._retry_after_s(self._wait_s(now_s, request, instances)), 0.0, 0)
-        priority = min(request.priority, 2)
+        priority = max(0, min(request.priority, 2))
         allowed_s = min(
             request.remaining_s * _DEADLINE_SHARES[priority],
             request.target_s * _TARGET_FACTORS[priority],
@@ -478,4 +479,5 @@
         health.unhealthy_probability(now_s),
         now_s - health.last_evidence_s,
         explores,
+        candidate.slowness,
     )
