End an attempt at once on a status line that is no final response

Cause: the parser takes 000, 099 and every 1xx for an interim response, so an exchange waited behind them for its whole time (504 for each request); HTTP/2.0 was passed on as a success. No caller got a status 000.

Change: the first 13 bytes of each head must be a status line with 100, 102, 103 or 200 to 599 of HTTP/1.0 or HTTP/1.1; else the connection closes and the attempt is an invalid response: 502, or for idempotent requests another instance's response. Bytes that are no status line at all remain a broken exchange.

--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -24,7 +24,11 @@
 from anviltray.settings import UpstreamSettings
 from anviltray.telemetry import describe_error
 from anviltray.upstreams._acknowledgement import is_acknowledged
-from anviltray.upstreams._connector import ConnectionUse, UpstreamConnector
+from anviltray.upstreams._connector import (
+    ConnectionUse,
+    InvalidStatusLine,
+    UpstreamConnector,
+)
 from anviltray.upstreams._dialect import NO_SIGNALS, Dialect, Signals
 from anviltray.upstreams._errors import (
     ConnectFailed,
@@ -189,18 +193,25 @@
     """Client for all upstreams of a node; must be created in a running event loop.
 
     Connections are bound to `source_ip` if it is given, so that upstreams see the address of the
-    node even on a host with several addresses.
+    node even on a host with several addresses. `connection_limit` is the maximum number of
+    connections to all instances together.
 
     Example: `response = await client.send("10.0.0.1:80", UpstreamRequest("GET", "/a", ()))`, then
     `await response.read_chunk()` until it is empty, and `response.close()` in any case.
     """
 
-    def __init__(self, settings: UpstreamSettings, source_ip: str = "") -> None:
+    def __init__(
+        self, settings: UpstreamSettings, source_ip: str = "", connection_limit: int | None = None
+    ) -> None:
         self._settings = settings
         self._loop = asyncio.get_running_loop()
         self.dialect = Dialect(settings)
         self._connector = UpstreamConnector(
-            self.dialect, settings.idle_limit_s, settings.instance_connections, source_ip
+            self.dialect,
+            settings.idle_limit_s,
+            settings.instance_connections,
+            source_ip,
+            connection_limit,
         )
         self._session = ClientSession(
             connector=self._connector, cookie_jar=DummyCookieJar(), auto_decompress=False
@@ -289,6 +300,9 @@
             if isinstance(error, InvalidResponse):
                 # A response that was received completely has returned its connection to the pool.
                 self.close_idle(address)
+            if isinstance(error.__cause__, InvalidStatusLine):
+                # aiohttp raises its own error for the one of the parser.
+                raise InvalidResponse(f"{address}: {describe_error(error.__cause__)}") from error
             if isinstance(error, _TRANSPORT_ERRORS):
                 raise ExchangeBroken(f"{address}: {describe_error(error)}") from error
             raise
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -33,6 +33,7 @@
 _READ_LIMIT_BYTES = 65536
 _HEAD_END = b"\r\n\r\n"
 _FIRST_FINAL_STATUS = 200
+_STATUS_LINE_START_BYTES = 13  # Bytes of a status line up to the character after the status.
 _BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 _SHORT_LENGTH = re.compile(r"[0-9]{1,5}")
 # Share of the idle timeout stated by an upstream in which its connections are reused. A request
@@ -43,9 +44,15 @@
 _IDENTIFIER_LIMIT = 256
 _connection_numbers = itertools.count(1)
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
+# The parser takes any status below 200 for an interim response, and the exchange would wait on.
+_VALID_STATUS_LINE = re.compile(rb"HTTP/1\.[01] (100|102|103|[2-5][0-9]{2})[ \r\n]")
 _KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[,;\s])timeout\s*=\s*\"?(\d{1,6})", re.IGNORECASE)
 
 
+class InvalidStatusLine(HttpProcessingError):
+    """The status line is neither that of a final nor that of an interim response."""
+
+
 class ConnectionUse(NamedTuple):
     """Identifies one exchange on one connection, for logs."""
 
@@ -77,6 +84,7 @@
         self._skipped_body_bytes = 0  # Rest of the body that is being skipped.
         self._has_final_head = False
         self._last_bytes = b""  # End of the data so far, as a head may end across two segments.
+        self._status_line_start = b""  # Of the head that is being received.
         self._head_bytes = 0
         self._informational_count = 0
         self._received_body_bytes = 0  # With their framing.
@@ -110,6 +118,7 @@
         """Prepares for the response to the next request on this connection."""
         self._has_final_head = False
         self._last_bytes = b""
+        self._status_line_start = b""
         self._head_bytes = 0
         self._informational_count = 0
         self._received_body_bytes = 0
@@ -183,6 +192,13 @@
             head, data = data[:end], data[end:]
             self._last_bytes = b"" if start >= 0 else (self._last_bytes + head)[-3:]
             self._head_bytes += len(head)
+            if not self._check_status_line(head):
+                invalid = self._status_line_start.startswith(b"HTTP/")
+                error = InvalidStatusLine if invalid else HttpProcessingError
+                self._fail(error(message="the response does not begin with a valid status line"))
+                return b""
+            if start >= 0:
+                self._status_line_start = b""
             super().data_received(head)
             if self._exception is not None:
                 return b""
@@ -194,6 +210,16 @@
                 return b""
         return data
 
+    def _check_status_line(self, data: bytes) -> bool:
+        """Returns whether `data` continues or follows a valid beginning of a status line."""
+        if len(self._status_line_start) >= _STATUS_LINE_START_BYTES:
+            return True
+        # The parser ignores empty lines ahead of a response.
+        start = (self._status_line_start + data).lstrip(b"\r\n")[:_STATUS_LINE_START_BYTES]
+        self._status_line_start = start
+        complete = len(start) == _STATUS_LINE_START_BYTES or b"\n" in start
+        return not complete or _VALID_STATUS_LINE.match(start) is not None
+
     def _skip_body(self, data: bytes) -> bytes:
         """Skips the body of a response to an earlier request and returns the bytes after it.
 
@@ -217,10 +243,11 @@
         if framing_bytes > _FRAMING_LIMIT_BYTES + _FRAMING_FACTOR * payload.total_bytes:
             self._fail("the framing of the response body is too large")
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str | HttpProcessingError) -> None:
         if self.transport is not None:
             self.transport.close()
-        self.set_exception(HttpProcessingError(message=reason))
+        error = HttpProcessingError(message=reason) if isinstance(reason, str) else reason
+        self.set_exception(error)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fails the body of the current response if the connection was lost with an error.
@@ -260,6 +287,7 @@
         idle_limit_s: float,
         connections_per_instance: int,
         source_ip: str = "",
+        connection_limit: int | None = None,
     ) -> None:
         # With this class, aiohttp uses the keep-alive time only as the interval between clean-ups.
         super().__init__(
@@ -275,6 +303,7 @@
         )
         self._idle_limit_s = idle_limit_s
         self.connections_per_instance = connections_per_instance
+        self._connection_limit = connection_limit
         self._open_counts: dict[ConnectionKey, int] = {}  # Connections in use or being opened.
 
     def acquire_idle(
@@ -336,6 +365,8 @@
 
     def has_room(self, key: ConnectionKey) -> bool:
         """Returns whether one more connection is allowed; closes old idle ones to make room."""
+        if not self._has_room_in_total():
+            return False
         room = self.connections_per_instance - self._open_counts.get(key, 0)
         if room <= 0:
             return False
@@ -347,6 +378,21 @@
                 del self._conns[key]
         return True
 
+    def _has_room_in_total(self) -> bool:
+        """Returns whether all instances together allow one more; closes idle ones to make room."""
+        if self._connection_limit is None:
+            return True
+        in_use = sum(self._open_counts.values())
+        surplus = in_use + sum(map(len, self._conns.values())) + 1 - self._connection_limit
+        while surplus > 0 and self._conns:
+            key = next(iter(self._conns))
+            idle = self._conns[key]
+            idle.popleft()[0].close()
+            surplus -= 1
+            if not idle:
+                del self._conns[key]
+        return surplus <= 0
+
     def start_exchange(
         self, connection: Connection, request_id: str | None, on_skipped: Callable[[], None]
     ) -> ConnectionUse:
