Bound all that a process holds for callers by one budget

Change: CallerMemory (decisions/limits) is the one counter of bytes; ResponseMemory is folded into it. Every listener of edge/ and node/ has the same protocol and CallerPressure. While memory is short, connections whose caller has to send or to read are closed: the address that holds most first, by bytes times the time without progress. New requests get 503 (not run) and new connections are closed only above five quarters. Descriptors (maxFds) are divided among callers, the platform and instances; a new connection displaces one that has not moved for a second. New settings: field_limit, pipeline_limit, pipeline_limit_bytes, reader_timeout_s and memory_limit_bytes. A pipelined request starts when the responses before it are read to the high-water mark. A caller that leaves ends a request whose body can no longer be complete, and a streamed response.

Tests: three of edge/tests/test_memory.py tested ResponseMemory and its shares; they now test the same sums, counts and returns on CallerMemory. callers/tests/support.py gives its node a known budget.

--- a/anviltray/callers/__init__.py
+++ b/anviltray/callers/__init__.py
@@ -5,6 +5,7 @@
 from anviltray.callers._context import CallerContext, Outcome, StoredResponse
 from anviltray.callers._exchange import CallerExchange
 from anviltray.callers._head import CallerHeaders, HeadReader, RequestHead
+from anviltray.callers._pressure import CallerPressure
 from anviltray.callers._problems import InputError, Problem
 from anviltray.callers._protocol import protocol_class
 from anviltray.callers._relay import add_content_length
@@ -15,6 +16,7 @@
     "CallerContext",
     "CallerExchange",
     "CallerHeaders",
+    "CallerPressure",
     "HeadReader",
     "InputError",
     "Outcome",
--- a/anviltray/callers/_body.py
+++ b/anviltray/callers/_body.py
@@ -8,6 +8,8 @@
 
 # Bodies up to this size are buffered before the first attempt and can be sent again.
 RESEND_BUFFER_BYTES = 65536
+_COPIES = 2  # Of a buffered body: the buffer and what is being sent.
+_SENDING_BYTES = 65536  # Of a body that is passed on as it arrives: what the upstream has not read.
 
 
 class RequestBody:
@@ -68,12 +70,16 @@
         return self._chunks()
 
     async def _chunks(self) -> AsyncIterator[bytes]:
-        if self._buffer:
-            yield bytes(self._buffer)
-        while not self._ended:
-            chunk = await self._read_chunk()
-            if chunk:
-                yield chunk
+        self._exchange.hold(_SENDING_BYTES)
+        try:
+            if self._buffer:
+                yield bytes(self._buffer)
+            while not self._ended:
+                chunk = await self._read_chunk()
+                if chunk:
+                    yield chunk
+        finally:
+            self._exchange.hold(-_SENDING_BYTES)
 
     async def _read_chunk(self) -> bytes:
         try:
@@ -87,7 +93,9 @@
         self._ended = not more
         if len(self._buffer) + len(chunk) <= 2 * RESEND_BUFFER_BYTES and not self._overflowed:
             self._buffer += chunk
+            self._exchange.hold(_COPIES * len(chunk))
         elif chunk:
             self._overflowed = True
+            self._exchange.hold(-_COPIES * len(self._buffer))
             self._buffer = bytearray()
         return chunk
--- a/anviltray/callers/_exchange.py
+++ b/anviltray/callers/_exchange.py
@@ -57,6 +57,9 @@
         self.write_blocked_since: float | None = None  # Loop time; None unless waiting to write.
         self._write_blocked_s = 0.0  # Total of the finished waits to write.
         self._chunked = False
+        self.held_bytes = 0  # Memory of the head, the body and the response of this request.
+        self._detached = False  # Whether the connection was lost while the request continues.
+        self._finished = False
 
     @property
     def caller(self) -> str:
@@ -70,6 +73,54 @@
             return self._write_blocked_s
         return self._write_blocked_s + self.protocol.loop.time() - self.write_blocked_since
 
+    def hold(self, change_bytes: int) -> None:
+        """Adds to the memory that this request holds, or subtracts from it."""
+        if self._finished:
+            return
+        self.held_bytes += change_bytes
+        if self._detached:
+            self.protocol.pressure.memory.used_bytes += change_bytes
+        else:
+            self.protocol.hold(change_bytes)
+
+    def relieve(self) -> None:
+        """Closes connections of callers if the memory for them is short."""
+        self.protocol.pressure.relieve()
+
+    def detach(self) -> int:
+        """Returns the bytes that remain held after the connection was lost."""
+        self._detached = True
+        return self.held_bytes
+
+    def release(self) -> None:
+        """Gives the memory back; called when the task has ended or is about to end."""
+        self.hold(-self.held_bytes)
+        self._finished = True
+        self.body = bytearray()
+
+    def on_task_done(self, task: "asyncio.Task[None]") -> None:
+        """Gives the memory of the request back; called when its task has ended."""
+        self.release()
+        self.scope["headers"].clear()  # type: ignore[attr-defined]
+
+    async def receive(self) -> Any:
+        """Returns the next ASGI message for an application that does not use `read_body`.
+
+        Such an application collects the body, so it counts as held until the request ends.
+        """
+        if self.more_body and not self.body and self.input_error is None:
+            self.read_waiting_since = self.protocol.loop.time()
+        try:
+            message = await super().receive()
+        finally:
+            self.read_waiting_since = None
+        return {"type": "http.disconnect"} if self.input_error is not None else message
+
+    async def send(self, message: Any) -> None:
+        """Sends one ASGI message of an application that does not use the methods below."""
+        await super().send(message)
+        self.protocol.update_unsent()
+
     def fail_input(self, error: InputError) -> None:
         """Makes reading the request body fail with `error`."""
         self.input_error = error
@@ -95,6 +146,7 @@
             raise self.input_error
         chunk = bytes(self.body)
         self.body = bytearray()
+        self.hold(-len(chunk))
         if self.more_body:
             self.flow.resume_reading()
         return chunk, self.more_body
@@ -147,6 +199,7 @@
         if first_chunk:
             head.extend(self._frame(first_chunk))
         self.transport.write(b"".join(head))
+        self.protocol.update_unsent()
         if self.flow.write_paused:
             await self._drain()
 
@@ -158,6 +211,7 @@
             self.transport.write(b"".join(self._frame(chunk)))
         else:
             self.transport.write(chunk)
+        self.protocol.update_unsent()
         if self.flow.write_paused:
             await self._drain()
 
--- a/anviltray/callers/_protocol.py
+++ b/anviltray/callers/_protocol.py
@@ -13,7 +13,9 @@
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
 from anviltray.callers._exchange import CallerDisconnected, CallerExchange
+from anviltray.callers._pressure import CallerPressure
 from anviltray.callers._problems import InputError, Problem, problem_body, problem_headers
+from anviltray.decisions.limits import CallerMemory, ConnectionLoad
 from anviltray.settings import CallerSettings
 
 if TYPE_CHECKING:
@@ -21,11 +23,23 @@
 
 # High-water mark of the write buffer; above it, no more of the response is read from the upstream.
 WRITE_BUFFER_BYTES = 65536
-# Maximum number of pipelined requests that wait on one connection behind the current one.
-PIPELINE_LIMIT = 32
+# asyncio reads up to 256 KiB at once, which hundreds of connections would hold at the same time.
+READ_LIMIT_BYTES = 65536
+# Memory of an idle connection: its objects and what the kernel keeps for it.
+CONNECTION_BYTES = 12288
+# Memory of one field of a head beyond its bytes: a tuple and two byte strings.
+FIELD_BYTES = 130
+# A complete head is held as received, decoded, and as sent to an instance.
+HEAD_COPIES = 3
+# Bytes that a caller has to send or read at least for its connection to make progress.
+PROGRESS_BYTES = 16384
 # The kernel resets a connection that is closed with unread input, which can discard a response in
 # flight. Input is therefore read and dropped for this time before the connection is closed.
 LINGERING_CLOSE_S = 1.0
+# Rejected connections that linger, as a share of the limit; further ones are closed without a
+# response, as each takes a descriptor.
+LINGERING_SHARE = 0.1
+MIN_LINGERING = 4
 # Requests in flight when a shutdown begins arrive within this time; idle connections stay open for
 # as long.
 SHUTDOWN_GRACE_S = 0.1
@@ -51,6 +65,17 @@
     408, "head-timeout", "the request head took too long", "unknown", close=True
 )
 _BODY_TOO_SLOW = Problem(408, "body-timeout", "the request body took too long", close=True)
+_TOO_MANY_REQUESTS = Problem(
+    400, "pipeline-limit", "too many requests were sent ahead", "unknown", close=True
+)
+_NO_MEMORY = Problem(
+    503,
+    "memory-limit",
+    "the node has no memory for the request",
+    "unknown",
+    retry_after_s=1,
+    close=True,
+)
 _TOO_MANY_CONNECTIONS = Problem(
     503,
     "connection-limit",
@@ -64,10 +89,23 @@
 class CallerProtocol(HttpToolsProtocol):
     """One connection of a caller."""
 
-    caller_settings: CallerSettings  # Set in the subclass that `protocol_class` creates.
+    # Set in the subclass that `protocol_class` creates.
+    caller_settings: CallerSettings
+    pressure: CallerPressure
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
+        self.address = ""  # IP address of the caller.
+        self.released = False  # Whether the connection is closed and its memory given back.
+        self._held_bytes = CONNECTION_BYTES  # Without requests whose task outlives the connection.
+        self._unsent_bytes = 0  # Part of it in the write buffer.
+        self._parsed_bytes = 0  # Part of it in the head that is being received.
+        self._moved_bytes = 0  # Bytes since the last progress.
+        self._progressed_s = 0.0  # Time of the last progress.
+        # Whether the next request waits until the caller has read the responses before it.
+        self._next_deferred = False
+        self._unsent_since_s: float | None = None  # Last time the caller read; None if it has all.
+        self._served = False  # Whether a request on this connection has been answered.
         # uvicorn allows data after `Connection: close`; here such data is a framing error.
         self.parser.set_dangerous_leniencies(lenient_data_after_close=False)
         self._last_received: CallerExchange | None = None  # Request received last.
@@ -86,15 +124,31 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)  # type: ignore[arg-type]
         self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        transport.max_size = READ_LIMIT_BYTES  # type: ignore[attr-defined]
         now = self.loop.time()
-        self._idle_started_at = self._head_started_at = now
-        if len(self.connections) > self.caller_settings.connection_limit:
-            self._reject(_TOO_MANY_CONNECTIONS)
+        self._idle_started_at = self._head_started_at = self._progressed_s = now
+        self.address = self.client[0] if self.client else ""
+        pressure = self.pressure
+        pressure.add(self)
+        pressure.memory.used_bytes += CONNECTION_BYTES
+        pressure.relieve()
+        limit = self.caller_settings.connection_limit
+        connections: set[CallerProtocol] = self.connections  # type: ignore[assignment]
+        if len(connections) > limit and not pressure.make_room(connections, limit):
+            pressure.record("rejected_connections", self.address)
+            if len(connections) - limit > limit * LINGERING_SHARE + MIN_LINGERING:
+                self.close_at_once()
+            else:
+                self._reject(_TOO_MANY_CONNECTIONS)
+        elif pressure.memory.is_full:
+            pressure.record("closed_for_memory", self.address)
+            self.close_at_once()
 
     def connection_lost(self, exc: Exception | None) -> None:
         exchanges = [self._current, self._last_received]
         self.pipeline.clear()  # Requests that have not started are dropped.
         super().connection_lost(exc)
+        self._release()
         for exchange in exchanges:
             if exchange is None or exchange.response_complete:
                 continue
@@ -104,9 +158,105 @@
             if on_disconnect is not None:
                 on_disconnect()
 
+    def _release(self) -> None:
+        """Gives the memory back, except that of a request whose task continues.
+
+        Objects of a connection refer to each other until the garbage collector runs, so what is
+        large is dropped here.
+        """
+        if self.released:
+            return
+        self.released = True
+        self.pressure.discard(self)
+        exchange = self._current
+        continuing = 0 if exchange is None else exchange.detach()
+        self.pressure.memory.used_bytes -= self._held_bytes - continuing
+        self._held_bytes = 0
+        self.headers = []
+        self.url = b""
+
+    def close_at_once(self) -> None:
+        """Closes the connection without a response and gives its memory back.
+
+        The task of a request that waits for its caller then ends at once.
+        """
+        self._input_stopped = True
+        self.pipeline.clear()
+        exchange = self._current
+        if exchange is not None:
+            exchange.release()
+        self._release()
+        if exchange is not None and exchange.response_started and not exchange.response_complete:
+            exchange.abort()
+        else:
+            self.transport.abort()
+
+    def hold(self, change_bytes: int) -> None:
+        """Adds to the memory that this connection holds, or subtracts from it."""
+        if not self.released:
+            self._held_bytes += change_bytes
+            self.pressure.memory.used_bytes += change_bytes
+
+    def update_unsent(self) -> None:
+        """Counts what the caller has not read of responses; called after each write."""
+        if self.released:
+            return
+        unsent = self.transport.get_write_buffer_size()
+        change = unsent - self._unsent_bytes
+        if not unsent:
+            self._unsent_since_s = None
+        elif change < 0 or self._unsent_since_s is None:
+            self._unsent_since_s = self.loop.time()
+        if change:
+            self._unsent_bytes = unsent
+            self.hold(change)
+            if change < 0:
+                self._move(-change)
+            else:
+                self.pressure.relieve()
+
+    def load(self, now_s: float) -> ConnectionLoad:
+        """Returns what the connection holds, and whether it waits for its caller.
+
+        It does while the caller has to send the rest of a head or a body, or to read.
+        """
+        exchange = self._current
+        serving = exchange is not None and not exchange.response_complete
+        closable = not serving or self.flow.write_paused or self._in_body()
+        held = self._held_bytes
+        return ConnectionLoad(
+            self.address,
+            held,
+            max(0, held - CONNECTION_BYTES),
+            now_s - self._progressed_s,
+            self._served,
+            closable,
+        )
+
+    def _in_body(self) -> bool:
+        exchange = self._current
+        return exchange is not None and exchange.more_body and exchange is self._last_received
+
+    def _move(self, size_bytes: int) -> None:
+        self._moved_bytes += size_bytes
+        if self._moved_bytes >= PROGRESS_BYTES:
+            self._moved_bytes = 0
+            self._progressed_s = self.loop.time()
+
     def data_received(self, data: bytes) -> None:
         if self._input_stopped:
             return
+        self._receive(data)
+        if self.released:
+            return
+        self._move(len(data))
+        parsed = self._head_bytes + FIELD_BYTES * len(self.headers) if self._in_head else 0
+        if parsed != self._parsed_bytes:
+            self.hold(parsed - self._parsed_bytes)
+            self._parsed_bytes = parsed
+        self.pressure.relieve()
+
+    def _receive(self, data: bytes) -> None:
         continued = self._in_head
         idle = self._current is None or self._current.response_complete
         self._read_bytes = len(data)
@@ -126,7 +276,12 @@
         elif self._in_head:
             if continued or idle:
                 self._head_bytes += self._read_bytes
-            if self._head_bytes > self.caller_settings.header_limit_bytes:
+            settings = self.caller_settings
+            if (
+                self._head_bytes > settings.header_limit_bytes
+                or len(self.headers) > settings.field_limit
+            ):
+                self.headers.clear()
                 self._reject(_HEAD_TOO_LARGE)
 
     # Parser
@@ -149,7 +304,8 @@
         # For an invalid target this raises an error that the parser reraises as HttpParserError.
         url = httptools.parse_url(self.url)
         upgrade = parser.should_upgrade()
-        self._rejection = self._head_rejection(http_version, url.path, upgrade)
+        head_size = self._head_size()
+        self._rejection = self._head_rejection(http_version, url.path, upgrade, head_size)
         if self._rejection is not None:
             return
         scope = self.scope
@@ -171,6 +327,7 @@
         previous = self._last_received
         exchange = CallerExchange(self, scope, keep_alive, self.expect_100_continue)
         scope["anviltray.exchange"] = exchange  # type: ignore[typeddict-unknown-key]
+        exchange.hold(HEAD_COPIES * (head_size + FIELD_BYTES * len(self.headers)))
         self.cycle = self._last_received = exchange
         if previous is None or previous.response_complete:
             self._start_asgi_task(exchange, self.app)
@@ -178,17 +335,28 @@
             self.flow.pause_reading()
             self.pipeline.appendleft((exchange, self.app))
 
-    def _head_rejection(self, http_version: str, raw_path: bytes, upgrade: bool) -> Problem | None:
+    def _head_rejection(
+        self, http_version: str, raw_path: bytes, upgrade: bool, head_size: int
+    ) -> Problem | None:
         """Returns the problem for a head that the parser accepts but this node rejects, or None."""
-        limit = self.caller_settings.header_limit_bytes
-        # Summing up the head is necessary only if more bytes than the limit were received.
-        if self._head_bytes + self._read_bytes > limit and self._head_size() > limit:
+        settings = self.caller_settings
+        if head_size > settings.header_limit_bytes or len(self.headers) > settings.field_limit:
             return _HEAD_TOO_LARGE
         if http_version not in ("1.1", "1.0"):
             return _BAD_VERSION
         # A target without a path is the asterisk form of OPTIONS, which matches no service.
-        if len(self.pipeline) >= PIPELINE_LIMIT or not raw_path.startswith(b"/"):
+        if not raw_path.startswith(b"/"):
             return _BAD_FRAMING
+        if len(self.pipeline) >= settings.pipeline_limit or (
+            self.pipeline
+            and sum(exchange.held_bytes for exchange, _ in self.pipeline)  # type: ignore[attr-defined]
+            > settings.pipeline_limit_bytes
+        ):
+            self.pressure.record("rejected_pipelined", self.address)
+            return _TOO_MANY_REQUESTS
+        if self.pressure.memory.is_full:
+            self.pressure.record("rejected_requests", self.address)
+            return _NO_MEMORY
         # httptools does not parse the body of an upgrade request. Without its body, the upstream
         # would run a different request.
         if upgrade and any(name in _BODY_HEADERS for name, _ in self.headers):
@@ -203,6 +371,7 @@
         if exchange is None or exchange.response_complete or self._rejection is not None:
             return
         exchange.body += body
+        exchange.hold(len(body))
         if len(exchange.body) > HIGH_WATER_LIMIT:
             self.flow.pause_reading()
         exchange.message_event.set()
@@ -218,12 +387,34 @@
 
     def _start_asgi_task(self, cycle: Any, app: "ASGI3Application") -> None:
         self._current = cycle
-        super()._start_asgi_task(cycle, app)
+        task = self.loop.create_task(cycle.run_asgi(app))
+        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(cycle.on_task_done)
+        self.tasks.add(task)
 
     def on_response_complete(self) -> None:
         self.server_state.total_requests += 1
         if self.transport.is_closing():
             return
+        self._served = True
+        self.update_unsent()
+        if not self._unsent_bytes:
+            self._progressed_s = self.loop.time()
+        if self.flow.write_paused and not self._input_stopped:
+            self._next_deferred = True
+        else:
+            self._start_next()
+
+    def resume_writing(self) -> None:
+        """Continues after the caller has read; called by the transport."""
+        super().resume_writing()
+        self.update_unsent()
+        if self._next_deferred and not self.transport.is_closing():
+            self._next_deferred = False
+            self._start_next()
+
+    def _start_next(self) -> None:
+        """Starts the next pipelined request, or waits for one."""
         self.flow.resume_reading()
         if self.pipeline:
             cycle, app = self.pipeline.pop()
@@ -279,13 +470,19 @@
     def check_timeouts(self, now_s: float) -> None:
         """Enforces the time limits for heads, bodies, idle connections and blocked writes."""
         settings = self.caller_settings
+        self.update_unsent()
+        unsent_since = self._unsent_since_s
+        if unsent_since is not None and now_s - unsent_since > settings.reader_timeout_s:
+            self.pressure.record("closed_stalled_readers", self.address)
+            self.close_at_once()
+            return
         exchange = self._current
         if exchange is not None and not exchange.response_complete:
             waiting, blocked = exchange.read_waiting_since, exchange.write_blocked_since
             if waiting is not None and now_s - waiting > settings.body_timeout_s:
                 self._input_stopped = True
                 exchange.fail_input(InputError(_BODY_TOO_SLOW))
-            if blocked is not None and now_s - blocked > settings.body_timeout_s:
+            if blocked is not None and now_s - blocked > settings.reader_timeout_s:
                 exchange.abort()
         elif self._idle_started_at is not None and self._current is not None and not self._in_head:
             if now_s - self._idle_started_at > settings.answer_lifetime_s:
@@ -317,9 +514,17 @@
             self.transport.close()
 
 
-def protocol_class(settings: CallerSettings) -> type[CallerProtocol]:
-    """Returns a protocol class for uvicorn that uses these settings."""
-    return type("BoundCallerProtocol", (CallerProtocol,), {"caller_settings": settings})
+def protocol_class(
+    settings: CallerSettings, pressure: CallerPressure | None = None
+) -> type[CallerProtocol]:
+    """Returns a protocol class for uvicorn that uses these settings.
+
+    All listeners of a process share one `pressure`; by default a new one with the budget of the
+    settings is created.
+    """
+    pressure = pressure or CallerPressure(CallerMemory(settings.memory_limit_bytes))
+    attributes = {"caller_settings": settings, "pressure": pressure}
+    return type("BoundCallerProtocol", (CallerProtocol,), attributes)
 
 
 __all__ = ["CallerDisconnected", "CallerProtocol", "protocol_class"]
--- a/anviltray/callers/_server.py
+++ b/anviltray/callers/_server.py
@@ -9,14 +9,22 @@
 import logbook
 import uvicorn
 
+from anviltray.callers._pressure import CallerPressure
 from anviltray.callers._protocol import CallerProtocol, protocol_class
-from anviltray.settings import CallerSettings
+from anviltray.settings import CallerSettings, build_caller_settings
 
 _log = logbook.Logger("anviltray.callers")
 
 # Interval between checks of the time limits of connections.
 CHECK_INTERVAL_S = 0.25
+INTERNAL_CHECK_INTERVAL_S = 1.0
+# Idle connections of the platform and of other hosts are closed after this time.
+_INTERNAL_IDLE_LIMIT_S = 5.0
+_INTERNAL_HEAD_TIMEOUT_S = 5.0
 BACKLOG = 2048
+# Connections that are accepted before those before them are checked against the limits. asyncio
+# accepts as many at once as the listener queues, by default.
+_ACCEPT_BATCH = 32
 _HEADERS_INTERVAL_S = 1.0  # The Date header has a resolution of a second.
 
 
@@ -58,6 +66,8 @@
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
         """Starts accepting connections, then calls `on_started`."""
         await super().startup(sockets)
+        for listener in sockets or ():
+            listener.listen(BACKLOG)
         self._on_started()
 
     @contextlib.contextmanager
@@ -109,14 +119,16 @@
         access_log=False,
         proxy_headers=False,
         server_header=False,
-        backlog=BACKLOG,
+        backlog=_ACCEPT_BATCH,
         timeout_graceful_shutdown=None,
     )
     config.load()
     # Bypasses uvicorn's wrappers, which are needed only for options that are off here.
     config.loaded_app = application
     server = _Server(config, on_started)
-    checks = asyncio.create_task(_check_timeouts(server, application))
+    checks = asyncio.create_task(
+        _check_timeouts(server, CHECK_INTERVAL_S, application.expire_queued)
+    )
     serving = asyncio.create_task(server.serve([listener]))
     stopping = asyncio.create_task(stop.wait())
     try:
@@ -131,38 +143,65 @@
         await asyncio.gather(checks, stopping, serving, return_exceptions=True)
 
 
+def internal_settings(connection_limit: int = 256) -> CallerSettings:
+    """Returns the limits of addresses for the platform, operators and other hosts."""
+    return build_caller_settings(
+        {
+            "answer_lifetime_s": _INTERNAL_IDLE_LIMIT_S,
+            "head_timeout_s": _INTERNAL_HEAD_TIMEOUT_S,
+            "connection_limit": connection_limit,
+        }
+    )
+
+
 async def serve_internal(
-    application: Any, listeners: Sequence[socket.socket], stop: asyncio.Event
+    application: Any,
+    listeners: Sequence[socket.socket],
+    stop: asyncio.Event,
+    pressure: CallerPressure | None = None,
+    connection_limit: int = 256,
 ) -> None:
-    """Serves an application without the limits for callers until `stop` is set."""
+    """Serves an ASGI application on several listeners until `stop` is set.
+
+    Anyone may connect to these addresses, so they share the memory of `pressure` with callers, but
+    not their number of connections: the platform still gets a response while callers hold theirs.
+    """
     config = uvicorn.Config(
         application,
         loop="asyncio",
-        http="httptools",
+        http=protocol_class(internal_settings(connection_limit), pressure),
         ws="none",
         lifespan="off",
         log_config=None,
         access_log=False,
         proxy_headers=False,
         server_header=False,
+        backlog=_ACCEPT_BATCH,
     )
     server = _Server(config)
+    checks = asyncio.create_task(_check_timeouts(server, INTERNAL_CHECK_INTERVAL_S))
     serving = asyncio.create_task(server.serve(list(listeners)))
-    await stop.wait()
-    server.request_exit()
-    await serving
+    try:
+        await stop.wait()
+        server.request_exit()
+        await serving
+    finally:
+        checks.cancel()
+        await asyncio.gather(checks, return_exceptions=True)
 
 
-async def _check_timeouts(server: uvicorn.Server, application: Application) -> None:
+async def _check_timeouts(
+    server: uvicorn.Server, interval_s: float, expire_queued: Callable[[], None] = lambda: None
+) -> None:
     loop = asyncio.get_running_loop()
     while True:
-        await asyncio.sleep(CHECK_INTERVAL_S)
+        await asyncio.sleep(interval_s)
         try:
             now = loop.time()
             for connection in list(server.server_state.connections):
                 if isinstance(connection, CallerProtocol):
                     connection.check_timeouts(now)
-            application.expire_queued()
+            expire_queued()
         except Exception:
             # The loop must continue: without it, slow callers could hold connections indefinitely.
             _log.exception("unexpected error while enforcing the time limits of connections")
--- a/anviltray/callers/tests/support.py
+++ b/anviltray/callers/tests/support.py
@@ -6,7 +6,7 @@
 from collections import namedtuple
 from types import SimpleNamespace
 
-from anviltray.callers import bind, create_application, serve
+from anviltray.callers import CallerPressure, bind, create_application, protocol_class, serve
 from anviltray.decisions import RoutableSet, RoutableUpstream
 from anviltray.decisions.attempts import (
     Forward,
@@ -17,7 +17,7 @@
     Replay,
     Start,
 )
-from anviltray.decisions.limits import Admitted, Queued, Rejected
+from anviltray.decisions.limits import Admitted, CallerMemory, Queued, Rejected
 from anviltray.declarations import build_service
 from anviltray.settings import build_settings
 from anviltray.upstreams import UpstreamClient
@@ -205,6 +205,8 @@
     def __init__(self, callers=None, upstreams=None, node="n1"):
         self.settings = make_settings(callers, upstreams, node)
         self.stop = asyncio.Event()
+        self.memory = CallerMemory(self.settings.callers.memory_limit_bytes)
+        self.pressure = CallerPressure(self.memory)
 
     async def __aenter__(self):
         self.context = FakeContext(self.settings)
@@ -213,7 +215,14 @@
         started = asyncio.Event()
         application = create_application(self.context)
         self.serving = asyncio.create_task(
-            serve(application, self.settings.callers, listener, self.stop, started.set)
+            serve(
+                application,
+                self.settings.callers,
+                listener,
+                self.stop,
+                started.set,
+                protocol_class(self.settings.callers, self.pressure),
+            )
         )
         await asyncio.wait_for(started.wait(), 5)
         return self
--- a/anviltray/edge/_call.py
+++ b/anviltray/edge/_call.py
@@ -73,8 +73,11 @@
             self._task.cancel()
 
     def on_disconnect(self) -> None:
-        """Cancels the request of a disconnected caller if it is cancellable."""
-        if self.cancellable and self._task is not None:
+        """Cancels the request of a disconnected caller if it is cancellable.
+
+        A request whose body can no longer become complete is cancelled in any case.
+        """
+        if (self.cancellable or self.exchange.more_body) and self._task is not None:
             self._task.cancel()
 
     def clear_timeout(self) -> bool:
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -15,6 +15,7 @@
     add_content_length,
 )
 from anviltray.decisions import ExchangeOutcome
+from anviltray.decisions.limits import CallerMemory
 from anviltray.decisions.placement import Placed, PlacementRequest, Shed
 from anviltray.declarations import Instance
 from anviltray.edge._admission import RequestAdmission
@@ -28,7 +29,7 @@
     RequestProgress,
     is_success,
 )
-from anviltray.edge._response_buffer import ResponseBuffer, ResponseMemory
+from anviltray.edge._response_buffer import ResponseBuffer, can_stream, stream
 from anviltray.edge._state import EdgeState
 from anviltray.platform import decode_statements, is_promise
 from anviltray.settings import CallerSettings
@@ -87,6 +88,7 @@
         settings: CallerSettings,
         caller_headers: CallerHeaders,
         instance_header: str,
+        memory: CallerMemory,
     ) -> None:
         """`instance_header` is the name of the header with the only instance that may respond."""
         self._state = state
@@ -99,7 +101,7 @@
         self.set_limits(settings)
         self._instance_header = instance_header
         self._admission = RequestAdmission(state)
-        self._response_memory = ResponseMemory(state.settings.memory_limit_bytes)
+        self._memory = memory
 
     def set_limits(self, settings: CallerSettings) -> None:
         """Applies the size limits and timeouts for requests."""
@@ -519,18 +521,18 @@
             recorder.finish(ExchangeOutcome.SERVER_ERROR)
             return self._unconfirmed()
         recorder.report_accepted()
-        with ResponseBuffer(self._response_memory) as buffer:
+        with ResponseBuffer(self._memory, call.exchange) as buffer:
             while chunk := await response.read_chunk():
                 buffer.append(chunk)
                 if buffer.is_full:
                     if call.exchange.response_started:
                         recorder.finish(ExchangeOutcome.ABANDONED)
                         return OutcomeUnknown("overtaken")
-                    if not self._response_memory.can_stream:
+                    if not can_stream(self._memory):
                         recorder.finish(ExchangeOutcome.ABANDONED)
                         return OutcomeUnknown("no-memory")
                     del chunk  # Not kept while the caller reads slowly.
-                    with self._response_memory.stream():
+                    with stream(call.exchange):
                         await self._stream_response(call, recorder, response, buffer)
                     return None
             failed = response.status >= 500
@@ -585,6 +587,9 @@
         try:
             while chunk := buffer.pop_first() or await response.read_chunk():
                 await exchange.write(chunk)
+                if exchange.disconnected:
+                    recorder.finish(ExchangeOutcome.ABANDONED)
+                    return
         except UpstreamError:
             recorder.finish(ExchangeOutcome.BROKEN)
             exchange.abort()
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -11,11 +11,20 @@
 
 import logbook
 
-from anviltray.callers import CallerHeaders, bind, protocol_class, serve, serve_internal
+from anviltray.callers import (
+    CallerHeaders,
+    CallerPressure,
+    bind,
+    protocol_class,
+    serve,
+    serve_internal,
+)
+from anviltray.decisions.limits import CallerMemory, divide_descriptors
 from anviltray.declarations import RoutingConfiguration
 from anviltray.edge._dispatcher import EdgeDispatcher
 from anviltray.edge._loans import RetryLoans
 from anviltray.edge._metrics import EdgeMetrics
+from anviltray.edge._process_memory import resident_bytes
 from anviltray.edge._resources import (
     DirectoryResource,
     MetricsResource,
@@ -88,7 +97,10 @@
         self.settings = settings
         self._rng = rng = random.Random(secrets.randbits(64))
         self.metrics = EdgeMetrics()
-        upstreams = UpstreamClient(_build_upstream_settings(), settings.address)
+        self._descriptors = divide_descriptors(settings.descriptor_limit)
+        upstreams = UpstreamClient(
+            _build_upstream_settings(), settings.address, self._descriptors.upstreams
+        )
         self.state = EdgeState(settings, upstreams, rng)
         locality = HostLocality(settings.address, settings.zone)
         self.exchange = ZoneExchange(locality, settings.first_internal_port, self._create_beacon)
@@ -96,7 +108,12 @@
         self.follower = StoreFollower(
             locality, self.store, self.exchange, self.state.directory, self._fetch_snapshot, rng
         )
-        self._protocol = protocol_class(build_caller_settings({}))
+        self._caller_memory = CallerMemory(settings.memory_limit_bytes)
+        self._pressure = CallerPressure(self._caller_memory)
+        self._set_caller_memory()
+        self._protocol = protocol_class(
+            build_caller_settings({"connection_limit": self._descriptors.callers}), self._pressure
+        )
         self._dispatcher = EdgeDispatcher(
             self.state,
             RetryLoans(settings.address, self.state, self.exchange, rng),
@@ -106,6 +123,7 @@
                 names.REQUEST_ID_HEADER.lower().encode(), names.DEADLINE_HEADER.lower().encode()
             ),
             names.EXPECTED_INSTANCE_HEADER,
+            self._caller_memory,
         )
         self._slack_timer: asyncio.TimerHandle | None = None
         self._serving_zone = ServingZone(self.state, self.exchange)
@@ -120,6 +138,7 @@
         self._serving: list[asyncio.Task[Any]] = []
         self.metrics.attach_counters("zone", lambda: self.exchange.counters)
         self.metrics.attach_counters("store", lambda: self.follower.counters)
+        self.metrics.attach_counters("callers", lambda: self._caller_memory.counters)
         self.exchange.register_handler(ZoneObservations, self._handle_observations)
         self.exchange.register_handler(ZoneOutcomes, self._handle_outcomes)
         self.exchange.register_handler(ZoneBeliefs, self._handle_beliefs)
@@ -163,7 +182,13 @@
                 )
             ),
             asyncio.create_task(
-                serve_internal(internal_application, listeners, self._stop_internal)
+                serve_internal(
+                    internal_application,
+                    listeners,
+                    self._stop_internal,
+                    self._pressure,
+                    self._descriptors.internal,
+                )
             ),
         ]
         self.exchange.request_hosts(settings.seed_addresses)
@@ -235,6 +260,7 @@
         ]
         self.settings = settings
         self.state.settings = settings
+        self._set_caller_memory()
         _log.info("settings reloaded", extra={"changed": changed})
 
     def not_ready_reasons(self) -> tuple[str, ...]:
@@ -260,8 +286,17 @@
     def _on_listening(self) -> None:
         self._listening = True
 
+    def _set_caller_memory(self) -> None:
+        """Sets the memory for callers to a share of what the process does not need for itself."""
+        memory = self._caller_memory
+        # While callers press, the process also keeps memory that they have given back.
+        if not memory.is_short:
+            process_bytes = resident_bytes() - memory.used_bytes
+            memory.set_process(self.settings.memory_limit_bytes, process_bytes)
+
     def _apply_configuration(self, configuration: RoutingConfiguration) -> None:
         self.state.configure(configuration)
+        self._set_caller_memory()
         limits = configuration.limits
         settings = build_caller_settings(
             {
@@ -270,6 +305,7 @@
                 "head_timeout_s": limits.header_timeout_s,
                 # This setting is also the time after which idle connections are closed.
                 "answer_lifetime_s": limits.idle_timeout_s + _IDLE_MARGIN_S,
+                "connection_limit": self._descriptors.callers,
             }
         )
         self._protocol.caller_settings = settings
--- a/anviltray/edge/_response_buffer.py
+++ b/anviltray/edge/_response_buffer.py
@@ -4,52 +4,54 @@
 from collections import deque
 from collections.abc import Iterator
 from types import TracebackType
+from typing import Protocol
+
+from anviltray.decisions.limits import CallerMemory
 
 # Larger responses are streamed to the caller as they arrive; once streaming has begun, a retry is
 # no longer possible.
 MAX_BUFFERED_BYTES = 262144
-# Shares of the memory limit of the process. The rest is for the process itself and for requests.
-_BUFFERED_SHARE = 0.125
-_STREAMED_SHARE = 0.5
 # Memory of a streamed response whose caller does not read: the buffers of both connections.
-_STREAM_BYTES = 262144
+STREAM_BYTES = 262144
 
 
-class ResponseMemory:
-    """Memory that the responses of one host share."""
+class Holder(Protocol):
+    """The request whose response is held; its memory is a part of the memory for callers."""
 
-    def __init__(self, process_limit_bytes: int) -> None:
-        """`process_limit_bytes` is the memory above which the process is killed."""
-        self.limit_bytes = int(process_limit_bytes * _BUFFERED_SHARE)
-        self.used_bytes = 0  # Bytes in all response buffers.
-        self._stream_limit = int(process_limit_bytes * _STREAMED_SHARE / _STREAM_BYTES)
-        self._streams = 0
+    def hold(self, change_bytes: int) -> None:
+        """Adds to the memory that the request holds, or subtracts from it."""
+
+    def relieve(self) -> None:
+        """Closes connections of callers if the memory for them is short."""
+
+
+def can_stream(memory: CallerMemory) -> bool:
+    """Returns whether one more response may be streamed."""
+    return memory.has_room(STREAM_BYTES)
 
-    @property
-    def can_stream(self) -> bool:
-        """Whether one more response may be streamed."""
-        return self._streams < self._stream_limit
 
-    @contextlib.contextmanager
-    def stream(self) -> Iterator[None]:
-        """Counts a response as streamed in its context."""
-        self._streams += 1
-        try:
-            yield
-        finally:
-            self._streams -= 1
+@contextlib.contextmanager
+def stream(holder: Holder) -> Iterator[None]:
+    """Counts a response as streamed in its context."""
+    holder.hold(STREAM_BYTES)
+    try:
+        yield
+    finally:
+        holder.hold(-STREAM_BYTES)
 
 
 class ResponseBuffer:
     """Received part of one response body; its memory is returned when its context is left.
 
-    Example: `with ResponseBuffer(memory) as buffer`, then `buffer.append(chunk)` until `is_full`.
+    Example: `with ResponseBuffer(memory, exchange) as buffer`, then `buffer.append(chunk)` until
+    `is_full`.
     """
 
-    __slots__ = ("_chunks", "_memory", "size_bytes")
+    __slots__ = ("_chunks", "_holder", "_memory", "size_bytes")
 
-    def __init__(self, memory: ResponseMemory) -> None:
+    def __init__(self, memory: CallerMemory, holder: Holder) -> None:
         self._memory = memory
+        self._holder = holder
         self._chunks: deque[bytes] = deque()
         self.size_bytes = 0
 
@@ -69,12 +71,12 @@
         """Adds bytes that have arrived."""
         self._chunks.append(chunk)
         self._resize(len(chunk))
+        self._holder.relieve()
 
     @property
     def is_full(self) -> bool:
         """Whether the response cannot be buffered further: it is large, or the memory is used."""
-        memory = self._memory
-        return self.size_bytes > MAX_BUFFERED_BYTES or memory.used_bytes > memory.limit_bytes
+        return self.size_bytes > MAX_BUFFERED_BYTES or self._memory.is_short
 
     def pop_first(self) -> bytes:
         """Removes and returns the first chunk, or empty bytes if there is none left."""
@@ -90,4 +92,4 @@
 
     def _resize(self, change_bytes: int) -> None:
         self.size_bytes += change_bytes
-        self._memory.used_bytes += change_bytes
+        self._holder.hold(change_bytes)
--- a/anviltray/edge/tests/test_memory.py
+++ b/anviltray/edge/tests/test_memory.py
@@ -9,7 +9,14 @@
 import pytest
 
 from anviltray.callers.tests.support import call
-from anviltray.edge._response_buffer import MAX_BUFFERED_BYTES, ResponseBuffer, ResponseMemory
+from anviltray.decisions.limits import CallerMemory
+from anviltray.edge._response_buffer import (
+    MAX_BUFFERED_BYTES,
+    STREAM_BYTES,
+    ResponseBuffer,
+    can_stream,
+    stream,
+)
 from anviltray.edge.tests.support import (
     SEAL,
     Fleet,
@@ -112,14 +119,31 @@
     asyncio.run(main())
 
 
+class Holder:
+    """A request that holds memory; closes nothing."""
+
+    def __init__(self, memory):
+        self.memory = memory
+
+    def hold(self, change_bytes):
+        self.memory.used_bytes += change_bytes
+
+    def relieve(self):
+        pass
+
+
 def fill(memory, *sizes):
     """Returns buffers with one chunk of each size."""
-    buffers = [ResponseBuffer(memory) for _ in sizes]
+    buffers = [ResponseBuffer(memory, Holder(memory)) for _ in sizes]
     for buffer, size in zip(buffers, sizes, strict=True):
         buffer.append(b"x" * size)
     return buffers
 
 
+# Three quarters of the budget are 1,000,000 bytes.
+BUDGET_BYTES = 1_333_334
+
+
 @pytest.mark.parametrize(
     ("sizes", "full"),
     [
@@ -129,8 +153,8 @@
         ([100_000] * 11, [True] * 11),
     ],
 )
-def test_responses_are_buffered_within_their_share_of_the_memory(sizes, full):
-    memory = ResponseMemory(8_000_000)
+def test_responses_are_buffered_within_the_memory_for_callers(sizes, full):
+    memory = CallerMemory(BUDGET_BYTES)
     buffers = fill(memory, *sizes)
     assert [buffer.is_full for buffer in buffers] == full
     with contextlib.ExitStack() as stack:
@@ -140,8 +164,8 @@
 
 
 def test_chunks_that_are_passed_on_return_their_memory():
-    memory = ResponseMemory(8_000_000)
-    with ResponseBuffer(memory) as buffer:
+    memory = CallerMemory(BUDGET_BYTES)
+    with ResponseBuffer(memory, Holder(memory)) as buffer:
         buffer.append(b"first")
         buffer.append(b"second")
         assert buffer.content() == b"firstsecond"
@@ -149,10 +173,11 @@
         assert (buffer.pop_first(), buffer.pop_first()) == (b"second", b"")
 
 
-def test_responses_are_streamed_within_their_share_of_the_memory():
-    memory = ResponseMemory(1_048_576)
-    with memory.stream():
-        assert memory.can_stream
-        with memory.stream():
-            assert not memory.can_stream
-        assert memory.can_stream
+def test_responses_are_streamed_within_the_memory_for_callers():
+    memory = CallerMemory(2 * STREAM_BYTES)
+    with stream(Holder(memory)):
+        assert can_stream(memory)
+        with stream(Holder(memory)):
+            assert not can_stream(memory)
+        assert can_stream(memory)
+    assert memory.used_bytes == 0
--- a/anviltray/node/_node.py
+++ b/anviltray/node/_node.py
@@ -7,7 +7,15 @@
 
 import logbook
 
-from anviltray.callers import bind, create_application, serve, serve_internal
+from anviltray.callers import (
+    CallerPressure,
+    bind,
+    create_application,
+    protocol_class,
+    serve,
+    serve_internal,
+)
+from anviltray.decisions.limits import CallerMemory
 from anviltray.messages import (
     Counters,
     DrainingUpstreams,
@@ -60,6 +68,7 @@
         self._collector = BurnCollector(settings.zone)
         self._burn_log = BurnLog(self.platform, self._collector, settings.zone, self._zone_rank)
         self._operator_view = OperatorView(self.context, self.state.publisher, self._burn_log)
+        self._pressure = CallerPressure(CallerMemory(settings.callers.memory_limit_bytes))
         self._tasks: list[asyncio.Task[Any]] = []
         self._server_tasks: list[asyncio.Task[Any]] = []
         self._stop_callers = asyncio.Event()
@@ -69,6 +78,7 @@
 
     def _attach_counters(self) -> None:
         state = self.state
+        self.metrics.attach("callers", self._pressure.memory.counters)
         for prefix, owner in (
             ("exchange", state.exchange),
             ("configuration", state.store),
@@ -111,10 +121,13 @@
                     callers,
                     self._stop_callers,
                     self._on_listening,
+                    protocol_class(self.settings.callers, self._pressure),
                 )
             ),
             asyncio.create_task(
-                serve_internal(operator_application, [operators], self._stop_operators)
+                serve_internal(
+                    operator_application, [operators], self._stop_operators, self._pressure
+                )
             ),
         ]
         for task in (
--- a/anviltray/platform/_host_settings.py
+++ b/anviltray/platform/_host_settings.py
@@ -7,7 +7,9 @@
 
 from anviltray.settings import Guarantees, HostSettings
 
-_DEFAULT_MEMORY_MB = 300.0  # If the platform states no limit.
+# If the platform states no limits.
+_DEFAULT_MEMORY_MB = 300.0
+_DEFAULT_DESCRIPTORS = 4100
 
 
 class HostSettingsError(ValueError):
@@ -46,6 +48,7 @@
         heartbeat_s=_parse_non_negative(document["heartbeatMs"], "heartbeatMs") / 1000,
         first_start=document.get("bootstrap", False) is True,
         memory_limit_bytes=_parse_memory_limit(document.get("limits", {})),
+        descriptor_limit=_parse_descriptor_limit(document.get("limits", {})),
         guarantees=Guarantees(
             answer_lifetime_s=_parse_non_negative(bounds["ttl_max_s"], "ttl_max_s"),
             drain_s=_parse_non_negative(bounds["drainMs"], "drainMs") / 1000,
@@ -86,6 +89,11 @@
     return int((limit_mb or _DEFAULT_MEMORY_MB) * 1_000_000)
 
 
+def _parse_descriptor_limit(limits: Mapping[str, Any]) -> int:
+    limit = _parse_non_negative(limits.get("maxFds", _DEFAULT_DESCRIPTORS), "maxFds")
+    return int(limit or _DEFAULT_DESCRIPTORS)
+
+
 def _parse_share(value: Any, key: str) -> float:
     share = _parse_non_negative(value, key)
     if share > 1:
--- a/anviltray/settings/_generated.py
+++ b/anviltray/settings/_generated.py
@@ -40,6 +40,11 @@
     body_timeout_s: float  # Maximum pause within a request body; a longer one gets status 408.
     default_deadline_s: float  # Deadline of a request that does not specify one.
     connection_limit: int  # Maximum number of open caller connections.
+    field_limit: int  # Maximum number of fields of a request head; more get status 431.
+    pipeline_limit: int  # Maximum number of requests that wait on one connection.
+    pipeline_limit_bytes: int  # Maximum memory of the requests that wait on one connection.
+    reader_timeout_s: float  # Maximum time in which a caller reads nothing of a response.
+    memory_limit_bytes: int  # Maximum memory of all that is held for callers.
 
 
 def build_caller_settings(data: Mapping[str, Any]) -> CallerSettings:
@@ -53,6 +58,11 @@
         body_timeout_s=float(data.get("body_timeout_s", 30.0)),
         default_deadline_s=float(data.get("default_deadline_s", 30.0)),
         connection_limit=data.get("connection_limit", 4096),
+        field_limit=data.get("field_limit", 8192),
+        pipeline_limit=data.get("pipeline_limit", 32),
+        pipeline_limit_bytes=data.get("pipeline_limit_bytes", 4194304),
+        reader_timeout_s=float(data.get("reader_timeout_s", 30.0)),
+        memory_limit_bytes=data.get("memory_limit_bytes", 268435456),
     )
 
 
--- a/anviltray/settings/_host.py
+++ b/anviltray/settings/_host.py
@@ -34,4 +34,5 @@
     heartbeat_s: float  # Interval between two heartbeats of an instance.
     first_start: bool  # Whether the whole fleet starts for the first time.
     memory_limit_bytes: int  # Memory above which the platform kills the process.
+    descriptor_limit: int  # File descriptors that the process may have open.
     guarantees: Guarantees  # Guarantees of the fleet.
