Free what lost callers' connections hold at once, and let new callers in

Change: header lists are cleared when a connection or a request ends. The budget is a third instead of half of the rest; a served request counts 16 KB and a queued one 1.5 KB more. A connection that carries no kept request makes room after 50 ms, at the platform's addresses also one that has been served. Of a connection whose request is being served, the requests behind it are given up (not run), and it closes after the response. A request that comes while responses are unread waits as if it had been sent ahead.

--- a/anviltray/callers/_exchange.py
+++ b/anviltray/callers/_exchange.py
@@ -19,6 +19,7 @@
     problem_body,
     problem_headers,
 )
+from anviltray.decisions.limits import CallerMemory
 
 if TYPE_CHECKING:
     from anviltray.callers._protocol import CallerProtocol
@@ -67,6 +68,11 @@
         client = self.scope["client"]
         return client[0] if client else ""
 
+    @property
+    def memory(self) -> CallerMemory:
+        """The memory for callers, of which this request holds a part."""
+        return self.protocol.pressure.memory
+
     def write_blocked_s(self) -> float:
         """Returns for how many seconds the response has waited for the caller to read."""
         if self.write_blocked_since is None:
@@ -79,7 +85,7 @@
             return
         self.held_bytes += change_bytes
         if self._detached:
-            self.protocol.pressure.memory.used_bytes += change_bytes
+            self.memory.used_bytes += change_bytes
         else:
             self.protocol.hold(change_bytes)
 
@@ -101,6 +107,13 @@
     def on_task_done(self, task: "asyncio.Task[None]") -> None:
         """Gives the memory of the request back; called when its task has ended."""
         self.release()
+        self.drop_head()
+
+    def drop_head(self) -> None:
+        """Drops the header fields, which the request has copied or will not need.
+
+        Objects of a lost connection refer to each other until the garbage collector runs.
+        """
         self.scope["headers"].clear()  # type: ignore[attr-defined]
 
     async def receive(self) -> Any:
--- a/anviltray/callers/_pressure.py
+++ b/anviltray/callers/_pressure.py
@@ -101,5 +101,5 @@
         for index in chosen:
             connection = candidates[index]
             self.record(f"closed_for_{reason}", connection.address)
-            connection.close_at_once()
+            connection.give_up()
         return len(chosen)
--- a/anviltray/callers/_protocol.py
+++ b/anviltray/callers/_protocol.py
@@ -31,6 +31,10 @@
 FIELD_BYTES = 130
 # A complete head is held as received, decoded, and as sent to an instance.
 HEAD_COPIES = 3
+# Memory of a request beyond its head and body.
+EXCHANGE_BYTES = 1536
+# Memory of a request that is being served: its tasks and its connection to an instance.
+REQUEST_BYTES = 16384
 # Bytes that a caller has to send or read at least for its connection to make progress.
 PROGRESS_BYTES = 16384
 # The kernel resets a connection that is closed with unread input, which can discard a response in
@@ -92,6 +96,7 @@
     # Set in the subclass that `protocol_class` creates.
     caller_settings: CallerSettings
     pressure: CallerPressure
+    keeps_served: bool  # Whether connections are kept for further requests of their callers.
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
@@ -146,9 +151,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         exchanges = [self._current, self._last_received]
-        self.pipeline.clear()  # Requests that have not started are dropped.
+        self._release()  # Requests that have not started are dropped.
         super().connection_lost(exc)
-        self._release()
         for exchange in exchanges:
             if exchange is None or exchange.response_complete:
                 continue
@@ -172,8 +176,12 @@
         continuing = 0 if exchange is None else exchange.detach()
         self.pressure.memory.used_bytes -= self._held_bytes - continuing
         self._held_bytes = 0
-        self.headers = []
-        self.url = b""
+        for request in (exchange, self._last_received, *self._queued()):
+            if request is not None:
+                request.drop_head()
+        if self.headers is not None:
+            self.headers.clear()
+        self.pipeline.clear()
 
     def close_at_once(self) -> None:
         """Closes the connection without a response and gives its memory back.
@@ -181,7 +189,6 @@
         The task of a request that waits for its caller then ends at once.
         """
         self._input_stopped = True
-        self.pipeline.clear()
         exchange = self._current
         if exchange is not None:
             exchange.release()
@@ -216,26 +223,49 @@
                 self.pressure.relieve()
 
     def load(self, now_s: float) -> ConnectionLoad:
-        """Returns what the connection holds, and whether it waits for its caller.
+        """Returns what the connection holds, and whether it may be closed.
 
-        It does while the caller has to send the rest of a head or a body, or to read.
+        It may while the caller has to send the rest of a head or a body, or to read.
         """
-        exchange = self._current
-        serving = exchange is not None and not exchange.response_complete
-        closable = not serving or self.flow.write_paused or self._in_body()
+        if self._is_serving():
+            queued = sum(request.held_bytes for request in self._queued())
+            return ConnectionLoad(self.address, queued, queued, 0.0, True, queued > 0)
         held = self._held_bytes
+        unread = self._last_received is not None and self._last_received.more_body
         return ConnectionLoad(
             self.address,
             held,
             max(0, held - CONNECTION_BYTES),
             now_s - self._progressed_s,
-            self._served,
-            closable,
+            self.keeps_served and self._served and not self._input_stopped and not unread,
+            True,
         )
 
-    def _in_body(self) -> bool:
+    def give_up(self) -> None:
+        """Gives back what `load` reports; closes the connection at once or after a response.
+
+        Requests that are given up have not run.
+        """
+        if not self._is_serving():
+            self.close_at_once()
+            return
+        self._input_stopped = True
+        for request in self._queued():
+            self.hold(-request.held_bytes)
+            request.drop_head()
+        self.pipeline.clear()
+        if self._current is not None:
+            self._current.keep_alive = False
+
+    def _is_serving(self) -> bool:
+        """Returns whether a complete request runs; only those behind it can be given up then."""
         exchange = self._current
-        return exchange is not None and exchange.more_body and exchange is self._last_received
+        if exchange is None or exchange.response_complete or self.flow.write_paused:
+            return False
+        return exchange is not self._last_received or not exchange.more_body
+
+    def _queued(self) -> list[CallerExchange]:
+        return [request for request, _ in self.pipeline if isinstance(request, CallerExchange)]
 
     def _move(self, size_bytes: int) -> None:
         self._moved_bytes += size_bytes
@@ -327,9 +357,10 @@
         previous = self._last_received
         exchange = CallerExchange(self, scope, keep_alive, self.expect_100_continue)
         scope["anviltray.exchange"] = exchange  # type: ignore[typeddict-unknown-key]
-        exchange.hold(HEAD_COPIES * (head_size + FIELD_BYTES * len(self.headers)))
+        head_bytes = HEAD_COPIES * (head_size + FIELD_BYTES * len(self.headers))
+        exchange.hold(EXCHANGE_BYTES + head_bytes)
         self.cycle = self._last_received = exchange
-        if previous is None or previous.response_complete:
+        if (previous is None or previous.response_complete) and not self._next_deferred:
             self._start_asgi_task(exchange, self.app)
         else:
             self.flow.pause_reading()
@@ -349,7 +380,7 @@
             return _BAD_FRAMING
         if len(self.pipeline) >= settings.pipeline_limit or (
             self.pipeline
-            and sum(exchange.held_bytes for exchange, _ in self.pipeline)  # type: ignore[attr-defined]
+            and sum(request.held_bytes for request in self._queued())
             > settings.pipeline_limit_bytes
         ):
             self.pressure.record("rejected_pipelined", self.address)
@@ -387,6 +418,7 @@
 
     def _start_asgi_task(self, cycle: Any, app: "ASGI3Application") -> None:
         self._current = cycle
+        cycle.hold(REQUEST_BYTES)
         task = self.loop.create_task(cycle.run_asgi(app))
         task.add_done_callback(self.tasks.discard)
         task.add_done_callback(cycle.on_task_done)
@@ -515,15 +547,19 @@
 
 
 def protocol_class(
-    settings: CallerSettings, pressure: CallerPressure | None = None
+    settings: CallerSettings, pressure: CallerPressure | None = None, keeps_served: bool = True
 ) -> type[CallerProtocol]:
     """Returns a protocol class for uvicorn that uses these settings.
 
     All listeners of a process share one `pressure`; by default a new one with the budget of the
-    settings is created.
+    settings is created. Without `keeps_served`, any idle connection makes room for a new one.
     """
     pressure = pressure or CallerPressure(CallerMemory(settings.memory_limit_bytes))
-    attributes = {"caller_settings": settings, "pressure": pressure}
+    attributes = {
+        "caller_settings": settings,
+        "pressure": pressure,
+        "keeps_served": keeps_served,
+    }
     return type("BoundCallerProtocol", (CallerProtocol,), attributes)
 
 
--- a/anviltray/callers/_server.py
+++ b/anviltray/callers/_server.py
@@ -169,7 +169,7 @@
     config = uvicorn.Config(
         application,
         loop="asyncio",
-        http=protocol_class(internal_settings(connection_limit), pressure),
+        http=protocol_class(internal_settings(connection_limit), pressure, keeps_served=False),
         ws="none",
         lifespan="off",
         log_config=None,
--- a/anviltray/callers/tests/test_pressure.py
+++ b/anviltray/callers/tests/test_pressure.py
@@ -114,13 +114,18 @@
     run(test, ok(), limits)
 
 
-def test_a_connection_that_does_not_move_makes_room_for_a_new_one():
+@pytest.mark.parametrize(
+    ("piece", "status"), [(b"GET / HTTP/1.1\r\n", 200), (encode("GET /levels"), 503)]
+)
+def test_a_connection_that_does_not_move_makes_room_for_a_new_one(piece, status):
+    """One that is kept for the next request of its caller does so only after a second."""
+
     async def test(node):
-        writers = await open_crowd(node.address, 3, b"GET / HTTP/1.1\r\n")
-        assert (await node.call("GET /levels")).status == 503
+        writers = await open_crowd(node.address, 3, piece)
+        assert (await node.call("GET /levels")).status == status
         await asyncio.sleep(1.0)
         assert (await node.call("GET /levels")).status == 200
-        assert node.memory.counters["closed_for_connections"] == 1
+        assert node.memory.counters["closed_for_connections"] > 0
         leave(writers)
 
     run(test, ok(), {"connection_limit": 3})
--- a/anviltray/decisions/limits/_caller_memory.py
+++ b/anviltray/decisions/limits/_caller_memory.py
@@ -12,7 +12,7 @@
 
 # Share of the memory above what the process needs for itself. The rest is for what is not counted
 # exactly: the allocator, the garbage collector and copies of short duration.
-_BUDGET_SHARE = 0.5
+_BUDGET_SHARE = 1 / 3
 _MIN_BUDGET_SHARE = 1 / 16  # Of the whole memory, if the process itself has grown into the rest.
 # Above this share of the budget, connections that are waited for are closed, down to the second
 # share. The rest remains for the responses of requests that are being served.
@@ -25,8 +25,10 @@
 # ones does not cause a choice for each.
 _CONNECTION_RELIEF_SHARE = 0.02
 # A connection that has moved within this time is not closed in favour of a new one, nor for memory
-# if it holds less than this beyond itself: closing it would free next to nothing.
-_MIN_DISPLACED_STALL_S = 1.0
+# if it holds less than the bytes beyond itself: closing it would free next to nothing. One that has
+# been served may be about to carry the next request.
+_MIN_STALL_SERVED_S = 1.0
+_MIN_STALL_UNSERVED_S = 0.05
 _MIN_EXCESS_BYTES = 4096
 # Added to the time without progress, so that a large claim counts from its beginning.
 _MIN_STALL_S = 0.1
@@ -43,10 +45,10 @@
     """What one connection of a caller holds, and whether it moves."""
 
     address: str  # IP address of the caller.
-    held_bytes: int  # Memory of the connection and of its requests and responses.
+    held_bytes: int  # Memory of the connection, its requests and its responses that can be freed.
     excess_bytes: int  # Part of it above that of an idle connection.
     stalled_s: float  # Time since the caller has sent or read enough to count as progress.
-    served: bool  # Whether a request on the connection has been answered before.
+    served: bool  # Whether the connection is kept for another request after one was answered.
     closable: bool  # Whether the process waits for the caller; else it serves a request.
 
 
@@ -75,7 +77,7 @@
     """Returns the indices of the connections to close, in order.
 
     At least `free_bytes` and `free_connections` become free if there are enough closable ones. One
-    that has moved within a second is closed only if it holds memory and `free_bytes` is given. The
+    that has just moved is closed only if it holds memory and `free_bytes` is given. The
     address that holds most pays first, with the connections that make the least progress for what
     they hold, before those that hold nothing and have waited longest.
     """
@@ -86,7 +88,8 @@
         held.append(load.held_bytes)
         totals[load.address] += load.held_bytes
         large = free_bytes > 0 and load.excess_bytes >= _MIN_EXCESS_BYTES
-        if load.closable and (large or load.stalled_s >= _MIN_DISPLACED_STALL_S):
+        min_stall_s = _MIN_STALL_SERVED_S if load.served else _MIN_STALL_UNSERVED_S
+        if load.closable and (large or load.stalled_s >= min_stall_s):
             cost = load.excess_bytes * (load.stalled_s + _MIN_STALL_S)
             by_address[load.address].append((cost, not load.served, load.stalled_s, index))
     for connections in by_address.values():
--- a/anviltray/decisions/limits/tests/test_caller_memory.py
+++ b/anviltray/decisions/limits/tests/test_caller_memory.py
@@ -35,7 +35,8 @@
         ([KEPT, SILENT, SILENT._replace(stalled_s=6.0)], 0, 2, [2, 1]),
         ([KEPT, SILENT], 0, 2, [1, 0]),
         # No connection that has just moved makes room for a new one.
-        ([MOVING, SILENT._replace(stalled_s=0.5)], 0, 1, []),
+        ([MOVING, KEPT._replace(stalled_s=0.5)], 0, 1, []),
+        ([MOVING, SILENT._replace(stalled_s=0.5)], 0, 1, [1]),
         ([], 1, 1, []),
     ],
 )
@@ -77,7 +78,7 @@
 @pytest.mark.parametrize(
     ("limit_bytes", "process_bytes", "budget_bytes"),
     [
-        (200_000_000, 50_000_000, 75_000_000),
+        (200_000_000, 50_000_000, 50_000_000),
         (200_000_000, 199_000_000, 12_500_000),
         (200_000_000, 250_000_000, 12_500_000),
     ],
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -15,7 +15,6 @@
     add_content_length,
 )
 from anviltray.decisions import ExchangeOutcome
-from anviltray.decisions.limits import CallerMemory
 from anviltray.decisions.placement import Placed, PlacementRequest, Shed
 from anviltray.declarations import Instance
 from anviltray.edge._admission import RequestAdmission
@@ -88,7 +87,6 @@
         settings: CallerSettings,
         caller_headers: CallerHeaders,
         instance_header: str,
-        memory: CallerMemory,
     ) -> None:
         """`instance_header` is the name of the header with the only instance that may respond."""
         self._state = state
@@ -101,7 +99,6 @@
         self.set_limits(settings)
         self._instance_header = instance_header
         self._admission = RequestAdmission(state)
-        self._memory = memory
 
     def set_limits(self, settings: CallerSettings) -> None:
         """Applies the size limits and timeouts for requests."""
@@ -521,14 +518,14 @@
             recorder.finish(ExchangeOutcome.SERVER_ERROR)
             return self._unconfirmed()
         recorder.report_accepted()
-        with ResponseBuffer(self._memory, call.exchange) as buffer:
+        with ResponseBuffer(call.exchange) as buffer:
             while chunk := await response.read_chunk():
                 buffer.append(chunk)
                 if buffer.is_full:
                     if call.exchange.response_started:
                         recorder.finish(ExchangeOutcome.ABANDONED)
                         return OutcomeUnknown("overtaken")
-                    if not can_stream(self._memory):
+                    if not can_stream(call.exchange):
                         recorder.finish(ExchangeOutcome.ABANDONED)
                         return OutcomeUnknown("no-memory")
                     del chunk  # Not kept while the caller reads slowly.
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -123,7 +123,6 @@
                 names.REQUEST_ID_HEADER.lower().encode(), names.DEADLINE_HEADER.lower().encode()
             ),
             names.EXPECTED_INSTANCE_HEADER,
-            self._caller_memory,
         )
         self._slack_timer: asyncio.TimerHandle | None = None
         self._serving_zone = ServingZone(self.state, self.exchange)
--- a/anviltray/edge/_response_buffer.py
+++ b/anviltray/edge/_response_buffer.py
@@ -18,6 +18,10 @@
 class Holder(Protocol):
     """The request whose response is held; its memory is a part of the memory for callers."""
 
+    @property
+    def memory(self) -> CallerMemory:
+        """The memory for callers."""
+
     def hold(self, change_bytes: int) -> None:
         """Adds to the memory that the request holds, or subtracts from it."""
 
@@ -25,9 +29,9 @@
         """Closes connections of callers if the memory for them is short."""
 
 
-def can_stream(memory: CallerMemory) -> bool:
+def can_stream(holder: Holder) -> bool:
     """Returns whether one more response may be streamed."""
-    return memory.has_room(STREAM_BYTES)
+    return holder.memory.has_room(STREAM_BYTES)
 
 
 @contextlib.contextmanager
@@ -43,14 +47,13 @@
 class ResponseBuffer:
     """Received part of one response body; its memory is returned when its context is left.
 
-    Example: `with ResponseBuffer(memory, exchange) as buffer`, then `buffer.append(chunk)` until
+    Example: `with ResponseBuffer(exchange) as buffer`, then `buffer.append(chunk)` until
     `is_full`.
     """
 
-    __slots__ = ("_chunks", "_holder", "_memory", "size_bytes")
+    __slots__ = ("_chunks", "_holder", "size_bytes")
 
-    def __init__(self, memory: CallerMemory, holder: Holder) -> None:
-        self._memory = memory
+    def __init__(self, holder: Holder) -> None:
         self._holder = holder
         self._chunks: deque[bytes] = deque()
         self.size_bytes = 0
@@ -76,7 +79,7 @@
     @property
     def is_full(self) -> bool:
         """Whether the response cannot be buffered further: it is large, or the memory is used."""
-        return self.size_bytes > MAX_BUFFERED_BYTES or self._memory.is_short
+        return self.size_bytes > MAX_BUFFERED_BYTES or self._holder.memory.is_short
 
     def pop_first(self) -> bytes:
         """Removes and returns the first chunk, or empty bytes if there is none left."""
--- a/anviltray/edge/tests/test_memory.py
+++ b/anviltray/edge/tests/test_memory.py
@@ -134,7 +134,7 @@
 
 def fill(memory, *sizes):
     """Returns buffers with one chunk of each size."""
-    buffers = [ResponseBuffer(memory, Holder(memory)) for _ in sizes]
+    buffers = [ResponseBuffer(Holder(memory)) for _ in sizes]
     for buffer, size in zip(buffers, sizes, strict=True):
         buffer.append(b"x" * size)
     return buffers
@@ -165,7 +165,7 @@
 
 def test_chunks_that_are_passed_on_return_their_memory():
     memory = CallerMemory(BUDGET_BYTES)
-    with ResponseBuffer(memory, Holder(memory)) as buffer:
+    with ResponseBuffer(Holder(memory)) as buffer:
         buffer.append(b"first")
         buffer.append(b"second")
         assert buffer.content() == b"firstsecond"
@@ -175,9 +175,10 @@
 
 def test_responses_are_streamed_within_the_memory_for_callers():
     memory = CallerMemory(2 * STREAM_BYTES)
-    with stream(Holder(memory)):
-        assert can_stream(memory)
-        with stream(Holder(memory)):
-            assert not can_stream(memory)
-        assert can_stream(memory)
+    holder = Holder(memory)
+    with stream(holder):
+        assert can_stream(holder)
+        with stream(holder):
+            assert not can_stream(holder)
+        assert can_stream(holder)
     assert memory.used_bytes == 0
--- a/anviltray/edge/tests/test_pressure.py
+++ b/anviltray/edge/tests/test_pressure.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from anviltray.callers.tests.support import encode
 from anviltray.edge.tests.support import Fleet, respond
 from anviltray.edge.tests.test_crowds import CROWDS, LARGE_RESPONSE, PLACES, press
 
@@ -52,3 +53,20 @@
             await fleet.until(lambda: memory.used_bytes == 0, ALL_FREE_S)
 
     asyncio.run(main())
+
+
+def test_requests_are_not_run_before_the_responses_ahead_are_read(tmp_path):
+    """Each request is sent when the one before has been answered, so none is sent ahead."""
+
+    async def main():
+        async with Fleet(tmp_path, [respond(body=LARGE_RESPONSE)]) as fleet:
+            host, port = fleet.hosts[0].settings.caller_address.split(":")
+            _, writer = await asyncio.open_connection(host, int(port), limit=1024)
+            for number in range(60):
+                writer.write(encode("GET /level/1", Request_Id=f"c{number}"))
+                await asyncio.sleep(0.02)
+            # The buffers of the kernel take some 20 responses.
+            assert 0 < fleet.received() < 45
+            writer.transport.abort()
+
+    asyncio.run(main())
--- a/anviltray/platform/tests/test_host_settings.py
+++ b/anviltray/platform/tests/test_host_settings.py
@@ -61,6 +61,16 @@
     assert load_host_settings(path).memory_limit_bytes == expected_bytes
 
 
+@pytest.mark.parametrize(
+    ("section", "expected"),
+    [("", 4100), ("[limits]\nmaxFds = 700", 700), ("[limits]\nmaxFds = 0", 4100)],
+)
+def test_descriptor_limit_is_read(tmp_path, section, expected):
+    path = tmp_path / "host.toml"
+    path.write_text(TEXT + section)
+    assert load_host_settings(path).descriptor_limit == expected
+
+
 @pytest.mark.parametrize(
     ("old", "new", "named"),
     [
