Hold all crowds of test_crowds within the limits

A legal head whose fields have no blank after the colon was measured one byte a field too large. A body that could not be read stayed in memory with the frames of its error until the garbage collector ran.

Change: a rejected head is dropped at once; a new connection displaces the one that has not moved for longest, but one that is kept for its caller's next request only after a second; the size of a head is the smaller one of what was received and what its fields need; the error and the buffer of a body are dropped with the request.

--- a/anviltray/callers/_body.py
+++ b/anviltray/callers/_body.py
@@ -35,6 +35,12 @@
         self._overflowed = False  # True once more was read than fits into the buffer.
         self._ended = content_length == 0
         self.error: InputError | None = None  # Set if the body could not be read completely.
+        exchange.on_ended = self._drop
+
+    def _drop(self) -> None:
+        """Drops what is held; the error refers to frames that refer to this object."""
+        self._buffer = bytearray()
+        self.error = None
 
     @property
     def length(self) -> int:
--- a/anviltray/callers/_exchange.py
+++ b/anviltray/callers/_exchange.py
@@ -54,6 +54,7 @@
         self.protocol = protocol
         self.input_error: InputError | None = None
         self.on_disconnect: Callable[[], None] | None = None
+        self.on_ended: Callable[[], None] | None = None  # Called when the task has ended.
         self.read_waiting_since: float | None = None  # Loop time; None unless waiting for the body.
         self.write_blocked_since: float | None = None  # Loop time; None unless waiting to write.
         self._write_blocked_s = 0.0  # Total of the finished waits to write.
@@ -108,6 +109,10 @@
         """Gives the memory of the request back; called when its task has ended."""
         self.release()
         self.drop_head()
+        self.input_error = None
+        if self.on_ended is not None:
+            self.on_ended()
+            self.on_ended = None
 
     def drop_head(self) -> None:
         """Drops the header fields, which the request has copied or will not need.
--- a/anviltray/callers/_pressure.py
+++ b/anviltray/callers/_pressure.py
@@ -53,13 +53,15 @@
         if self.memory.is_short:
             self._set_futile("memory")
 
-    def make_room(self, connections: Collection["CallerProtocol"], limit: int) -> bool:
+    def make_room(
+        self, newcomer: "CallerProtocol", connections: Collection["CallerProtocol"], limit: int
+    ) -> bool:
         """Returns whether a connection above the `limit` may stay, after closing others."""
         listener = str(id(connections))
         if self._is_futile(listener):
             return False
-        open_ones = [each for each in connections if not each.released]
-        needed = self.memory.relief_connections(len(open_ones), limit)
+        open_ones = [each for each in connections if not each.released and each is not newcomer]
+        needed = self.memory.relief_connections(len(open_ones) + 1, limit)
         if needed and not self._close(open_ones, 0, needed, "connections"):
             self._set_futile(listener)
             return False
--- a/anviltray/callers/_protocol.py
+++ b/anviltray/callers/_protocol.py
@@ -139,7 +139,7 @@
         pressure.relieve()
         limit = self.caller_settings.connection_limit
         connections: set[CallerProtocol] = self.connections  # type: ignore[assignment]
-        if len(connections) > limit and not pressure.make_room(connections, limit):
+        if len(connections) > limit and not pressure.make_room(self, connections, limit):
             pressure.record("rejected_connections", self.address)
             if len(connections) - limit > limit * LINGERING_SHARE + MIN_LINGERING:
                 self.close_at_once()
@@ -311,7 +311,6 @@
                 self._head_bytes > settings.header_limit_bytes
                 or len(self.headers) > settings.field_limit
             ):
-                self.headers.clear()
                 self._reject(_HEAD_TOO_LARGE)
 
     # Parser
@@ -371,7 +370,11 @@
     ) -> Problem | None:
         """Returns the problem for a head that the parser accepts but this node rejects, or None."""
         settings = self.caller_settings
-        if head_size > settings.header_limit_bytes or len(self.headers) > settings.field_limit:
+        # The rest of the read may belong to the body, and blanks around values are not counted.
+        received = self._head_bytes + self._read_bytes
+        if min(received, head_size) > settings.header_limit_bytes:
+            return _HEAD_TOO_LARGE
+        if len(self.headers) > settings.field_limit:
             return _HEAD_TOO_LARGE
         if http_version not in ("1.1", "1.0"):
             return _BAD_VERSION
@@ -395,7 +398,7 @@
         return None
 
     def _head_size(self) -> int:
-        return len(self.url) + sum(len(name) + len(value) + 4 for name, value in self.headers)
+        return len(self.url) + sum(len(name) + len(value) + 3 for name, value in self.headers)
 
     def on_body(self, body: bytes) -> None:
         exchange = self._last_received
@@ -478,6 +481,8 @@
             return
         self._input_stopped = True
         self._head_started_at = None
+        if self._in_head or self._rejection is not None:
+            self.headers.clear()  # No request uses them, and the connection lingers.
         last_received = self._last_received
         if last_received is None or last_received.response_complete:
             self._write_problem(problem)
--- a/anviltray/decisions/limits/_caller_memory.py
+++ b/anviltray/decisions/limits/_caller_memory.py
@@ -24,12 +24,13 @@
 # Further connections that are closed with the one that exceeds the limit, so that a crowd of new
 # ones does not cause a choice for each.
 _CONNECTION_RELIEF_SHARE = 0.02
-# A connection that has moved within this time is not closed in favour of a new one, nor for memory
-# if it holds less than the bytes beyond itself: closing it would free next to nothing. One that has
-# been served may be about to carry the next request.
+# A connection that has been served may be about to carry the next request, so it is not closed in
+# favour of a new one before this time without progress.
 _MIN_STALL_SERVED_S = 1.0
-_MIN_STALL_UNSERVED_S = 0.05
+# For memory, one that holds less than these bytes beyond itself is not closed before this time:
+# closing it frees next to nothing, and its request may be about to arrive.
 _MIN_EXCESS_BYTES = 4096
+_MIN_STALL_SMALL_S = 0.05
 # Added to the time without progress, so that a large claim counts from its beginning.
 _MIN_STALL_S = 0.1
 
@@ -76,21 +77,19 @@
 ) -> list[int]:
     """Returns the indices of the connections to close, in order.
 
-    At least `free_bytes` and `free_connections` become free if there are enough closable ones. One
-    that has just moved is closed only if it holds memory and `free_bytes` is given. The
-    address that holds most pays first, with the connections that make the least progress for what
-    they hold, before those that hold nothing and have waited longest.
+    At least `free_bytes` and `free_connections` become free if there are enough closable ones. The
+    address that holds most pays first: for memory, with the connections that make the least
+    progress for what they hold; for connections, with those that have waited longest.
     """
     by_address: dict[str, list[tuple[float, bool, float, int]]] = defaultdict(list)
     totals: Counter[str] = Counter()
     held = []
+    for_memory = free_bytes > 0
     for index, load in enumerate(loads):
         held.append(load.held_bytes)
         totals[load.address] += load.held_bytes
-        large = free_bytes > 0 and load.excess_bytes >= _MIN_EXCESS_BYTES
-        min_stall_s = _MIN_STALL_SERVED_S if load.served else _MIN_STALL_UNSERVED_S
-        if load.closable and (large or load.stalled_s >= min_stall_s):
-            cost = load.excess_bytes * (load.stalled_s + _MIN_STALL_S)
+        if load.closable and load.stalled_s >= _min_stall_s(load, for_memory):
+            cost = load.excess_bytes * (load.stalled_s + _MIN_STALL_S) if for_memory else 0.0
             by_address[load.address].append((cost, not load.served, load.stalled_s, index))
     for connections in by_address.values():
         connections.sort()
@@ -109,6 +108,14 @@
     return chosen
 
 
+def _min_stall_s(load: ConnectionLoad, for_memory: bool) -> float:
+    if for_memory and load.excess_bytes >= _MIN_EXCESS_BYTES:
+        return 0.0
+    if load.served:
+        return _MIN_STALL_SERVED_S
+    return _MIN_STALL_SMALL_S if for_memory else 0.0
+
+
 class CallerMemory:
     """The one budget of bytes for all that a process holds for callers.
 
