--- a/anviltray/callers/_body.py
+++ b/anviltray/callers/_body.py
@@ -8,6 +8,8 @@
 
 # Bodies up to this size are buffered before the first attempt and can be sent again.
 RESEND_BUFFER_BYTES = 65536
+_COPIES = 2  # Of a buffered body: the buffer and what is being sent.
+_SENDING_BYTES = 65536  # Of a body that is passed on as it arrives: what the upstream has not read.
 
 
 class RequestBody:
@@ -33,6 +35,12 @@
         self._overflowed = False  # True once more was read than fits into the buffer.
         self._ended = content_length == 0
         self.error: InputError | None = None  # Set if the body could not be read completely.
+        exchange.on_ended = self._drop
+
+    def _drop(self) -> None:
+        """Drops what is held; the error refers to frames that refer to this object."""
+        self._buffer = bytearray()
+        self.error = None
 
     @property
     def length(self) -> int:
@@ -68,12 +76,17 @@
         return self._chunks()
 
     async def _chunks(self) -> AsyncIterator[bytes]:
-        if self._buffer:
-            yield bytes(self._buffer)
-        while not self._ended:
-            chunk = await self._read_chunk()
-            if chunk:
-                yield chunk
+        self._exchange.hold(_SENDING_BYTES)
+        self._exchange.relieve()
+        try:
+            if self._buffer:
+                yield bytes(self._buffer)
+            while not self._ended:
+                chunk = await self._read_chunk()
+                if chunk:
+                    yield chunk
+        finally:
+            self._exchange.hold(-_SENDING_BYTES)
 
     async def _read_chunk(self) -> bytes:
         try:
@@ -87,7 +100,10 @@
         self._ended = not more
         if len(self._buffer) + len(chunk) <= 2 * RESEND_BUFFER_BYTES and not self._overflowed:
             self._buffer += chunk
+            self._exchange.hold(_COPIES * len(chunk))
+            self._exchange.relieve()
         elif chunk:
             self._overflowed = True
+            self._exchange.hold(-_COPIES * len(self._buffer))
             self._buffer = bytearray()
         return chunk
--- a/anviltray/callers/_exchange.py
+++ b/anviltray/callers/_exchange.py
@@ -19,6 +19,7 @@
     problem_body,
     problem_headers,
 )
+from anviltray.decisions.limits import CallerMemory
 
 if TYPE_CHECKING:
     from anviltray.callers._protocol import CallerProtocol
@@ -53,10 +54,14 @@
         self.protocol = protocol
         self.input_error: InputError | None = None
         self.on_disconnect: Callable[[], None] | None = None
+        self.on_ended: Callable[[], None] | None = None  # Called when the task has ended.
         self.read_waiting_since: float | None = None  # Loop time; None unless waiting for the body.
         self.write_blocked_since: float | None = None  # Loop time; None unless waiting to write.
         self._write_blocked_s = 0.0  # Total of the finished waits to write.
         self._chunked = False
+        self.held_bytes = 0  # Memory of the head, the body and the response of this request.
+        self._detached = False  # Whether the connection was lost while the request continues.
+        self._finished = False
 
     @property
     def caller(self) -> str:
@@ -64,12 +69,76 @@
         client = self.scope["client"]
         return client[0] if client else ""
 
+    @property
+    def memory(self) -> CallerMemory:
+        """The memory for callers, of which this request holds a part."""
+        return self.protocol.pressure.memory
+
     def write_blocked_s(self) -> float:
         """Returns for how many seconds the response has waited for the caller to read."""
         if self.write_blocked_since is None:
             return self._write_blocked_s
         return self._write_blocked_s + self.protocol.loop.time() - self.write_blocked_since
 
+    def hold(self, change_bytes: int) -> None:
+        """Adds to the memory that this request holds, or subtracts from it."""
+        if self._finished:
+            return
+        self.held_bytes += change_bytes
+        if self._detached:
+            self.memory.used_bytes += change_bytes
+        else:
+            self.protocol.hold(change_bytes)
+
+    def relieve(self) -> None:
+        """Closes connections of callers if the memory for them is short."""
+        self.protocol.pressure.relieve()
+
+    def detach(self) -> int:
+        """Returns the bytes that remain held after the connection was lost."""
+        self._detached = True
+        return self.held_bytes
+
+    def release(self) -> None:
+        """Gives the memory back; called when the task has ended or is about to end."""
+        self.hold(-self.held_bytes)
+        self._finished = True
+        self.body = bytearray()
+
+    def on_task_done(self, task: "asyncio.Task[None]") -> None:
+        """Gives the memory of the request back; called when its task has ended."""
+        self.release()
+        self.drop_head()
+        self.input_error = None
+        if self.on_ended is not None:
+            self.on_ended()
+            self.on_ended = None
+
+    def drop_head(self) -> None:
+        """Drops the header fields, which the request has copied or will not need.
+
+        Objects of a lost connection refer to each other until the garbage collector runs.
+        """
+        self.scope["headers"].clear()  # type: ignore[attr-defined]
+
+    async def receive(self) -> Any:
+        """Returns the next ASGI message for an application that does not use `read_body`.
+
+        Such an application collects the body, so it counts as held until the request ends.
+        """
+        if self.more_body and not self.body and self.input_error is None:
+            self.read_waiting_since = self.protocol.loop.time()
+        try:
+            message = await super().receive()
+        finally:
+            self.read_waiting_since = None
+        return {"type": "http.disconnect"} if self.input_error is not None else message
+
+    async def send(self, message: Any) -> None:
+        """Sends one ASGI message of an application that does not use the methods below."""
+        await super().send(message)
+        self.protocol.update_unsent()
+
     def fail_input(self, error: InputError) -> None:
         """Makes reading the request body fail with `error`."""
         self.input_error = error
@@ -95,6 +164,7 @@
             raise self.input_error
         chunk = bytes(self.body)
         self.body = bytearray()
+        self.hold(-len(chunk))
         if self.more_body:
             self.flow.resume_reading()
         return chunk, self.more_body
@@ -147,6 +217,7 @@
         if first_chunk:
             head.extend(self._frame(first_chunk))
         self.transport.write(b"".join(head))
+        self.protocol.update_unsent()
         if self.flow.write_paused:
             await self._drain()
 
@@ -158,6 +229,7 @@
             self.transport.write(b"".join(self._frame(chunk)))
         else:
             self.transport.write(chunk)
+        self.protocol.update_unsent()
         if self.flow.write_paused:
             await self._drain()
 
--- a/anviltray/decisions/limits/__init__.py
+++ b/anviltray/decisions/limits/__init__.py
@@ -1,4 +1,4 @@
-"""Limits: admission control, the byte budget for links to other regions, and allotted rates."""
+"""Limits: admission control, allotted rates, memory for callers, bytes of links between regions."""
 
 from anviltray.decisions.limits._admission import Admission, UnknownTicket
 from anviltray.decisions.limits._allotment_votes import (
@@ -21,6 +21,13 @@
     AllottedRequest,
     fleet_part,
 )
+from anviltray.decisions.limits._caller_memory import (
+    CallerMemory,
+    ConnectionLoad,
+    DescriptorPlan,
+    choose_to_close,
+    divide_descriptors,
+)
 from anviltray.decisions.limits._concurrency import ConcurrencyLimit
 from anviltray.decisions.limits._link import LinkBudget, TrafficClass
 from anviltray.decisions.limits._queue import FairQueue, QueuedTicket
@@ -47,6 +54,11 @@
     "AllotmentBounds",
     "AllotmentLedger",
     "AllottedRequest",
+    "CallerMemory",
+    "ConnectionLoad",
+    "DescriptorPlan",
+    "choose_to_close",
+    "divide_descriptors",
     "ConcurrencyLimit",
     "FairQueue",
     "LinkBudget",
--- a/anviltray/edge/_attempts.py
+++ b/anviltray/edge/_attempts.py
@@ -11,7 +11,7 @@
 from anviltray.edge._call import EdgeCall
 from anviltray.edge._metrics import EdgeMetrics
 from anviltray.edge._progress import AttemptResult, is_success
-from anviltray.edge._response_buffer import ResponseBuffer, ResponseMemory
+from anviltray.edge._response_buffer import ResponseBuffer, can_stream, stream
 from anviltray.edge._state import EdgeState
 from anviltray.edge._waiting import InstanceWaits
 from anviltray.platform import decode_statements, is_promise
@@ -45,7 +45,6 @@
         self._metrics = metrics
         self._instance_header = instance_header
         self._loop = asyncio.get_running_loop()
-        self._response_memory = ResponseMemory(state.settings.memory_limit_bytes)
 
     async def send(self, call: EdgeCall, placed: Placed) -> AttemptResult | None:
         """Sends the request to an instance; returns None if the response was streamed."""
@@ -184,18 +183,18 @@
             recorder.finish(ExchangeOutcome.SERVER_ERROR)
             return self._unconfirmed()
         recorder.report_accepted()
-        with ResponseBuffer(self._response_memory) as buffer:
+        with ResponseBuffer(call.exchange) as buffer:
             while chunk := await response.read_chunk():
                 buffer.append(chunk)
                 if buffer.is_full:
                     if call.exchange.response_started:
                         recorder.finish(ExchangeOutcome.ABANDONED)
                         return OutcomeUnknown("overtaken")
-                    if not self._response_memory.can_stream:
+                    if not can_stream(call.exchange):
                         recorder.finish(ExchangeOutcome.ABANDONED)
                         return OutcomeUnknown("no-memory")
                     del chunk  # Not kept while the caller reads slowly.
-                    with self._response_memory.stream():
+                    with stream(call.exchange):
                         await self._stream_response(call, recorder, response, buffer)
                     return None
             failed = response.status >= 500
@@ -250,6 +249,9 @@
         try:
             while chunk := buffer.pop_first() or await response.read_chunk():
                 await exchange.write(chunk)
+                if exchange.disconnected:
+                    recorder.finish(ExchangeOutcome.ABANDONED)
+                    return
         except UpstreamError:
             recorder.finish(ExchangeOutcome.BROKEN)
             exchange.abort()
--- a/anviltray/platform/_host_settings.py
+++ b/anviltray/platform/_host_settings.py
@@ -8,7 +8,9 @@
 
 from anviltray.settings import Guarantees, HostSettings
 
-_DEFAULT_MEMORY_MB = 300.0  # If the platform states no limit.
+# If the platform states no limits.
+_DEFAULT_MEMORY_MB = 300.0
+_DEFAULT_DESCRIPTORS = 4100
 
 
 class HostSettingsError(ValueError):
@@ -48,6 +50,7 @@
         first_start=document.get("bootstrap", False) is True,
         memory_limit_bytes=_parse_memory_limit(document.get("limits", {})),
         processor_share=_parse_processor_share(document.get("limits", {})),
+        descriptor_limit=_parse_descriptor_limit(document.get("limits", {})),
         guarantees=Guarantees(
             answer_lifetime_s=_parse_non_negative(bounds["ttl_max_s"], "ttl_max_s"),
             drain_s=_parse_non_negative(bounds["drainMs"], "drainMs") / 1000,
@@ -110,6 +113,11 @@
     return _parse_non_negative(limits.get("cpuShare", 1.0), "cpuShare") or 1.0
 
 
+def _parse_descriptor_limit(limits: Mapping[str, Any]) -> int:
+    limit = _parse_non_negative(limits.get("maxFds", _DEFAULT_DESCRIPTORS), "maxFds")
+    return int(limit or _DEFAULT_DESCRIPTORS)
+
+
 def _parse_share(value: Any, key: str) -> float:
     share = _parse_non_negative(value, key)
     if share > 1:
