Take the measured speed of instances and distance by round trips out of placement

Which of the two it was is not traced; the factor of slow instances is suspected, as a slow but healthy instance gets no requests for seconds.

Change: the cost of an instance is what it was before, and InstanceObservation has its earlier fields. All tests of waiting, placement, test_waiting and test_malformed pass.

--- a/anviltray/decisions/placement/_evidence.py
+++ b/anviltray/decisions/placement/_evidence.py
@@ -14,7 +14,6 @@
 from anviltray.decisions._types import ExchangeOutcome
 from anviltray.decisions.placement._belief import PhaseBelief, PhaseModel
 from anviltray.decisions.placement._rate_limits import RequestRateLimit
-from anviltray.decisions.placement._speed import InstanceSlowness, ServiceSpeed
 from anviltray.messages import InstanceBelief, InstanceLoad, InstanceObservation
 
 # A request that is still in flight after this time was accepted: an unhealthy instance resets the
@@ -86,7 +85,6 @@
         "peer_outstanding",
         "rate_limit",
         "resets_in_row",
-        "slowness",
         "unreported_error_evidence",
         "unreported_limit_per_s",
         "unreported_refusals",
@@ -113,7 +111,6 @@
         # Requests per second that the instance takes from the whole fleet, by its latest response.
         self.limit_per_s = math.inf
         self.rate_limit: RequestRateLimit | None = None  # Those that this zone may send.
-        self.slowness = InstanceSlowness()
         self._refusal_load = 0.0  # Requests per slot at the time `_refused_s`.
         self._refused_s = 0.0
         self._reset_belief = PhaseBelief(_RESET_PHASES)
@@ -231,7 +228,6 @@
         self._instances: dict[str, InstanceHealth] = {}
         self._changed: set[str] = set()
         self._mean_latencies_s: dict[str, float] = {}
-        self._speeds: dict[str, ServiceSpeed] = {}
         # Latest reports of other zones about their own instances and about those of this zone.
         self._belief_reports: dict[str, _ZoneReport] = {}
         self._load_reports: dict[str, _ZoneReport] = {}
@@ -284,12 +280,8 @@
         service: str,
         outcome: ExchangeOutcome,
         latency_s: float,
-        load: float = 1.0,
     ) -> None:
-        """Records the outcome and latency of a request.
-
-        `load` is the number of requests per slot that the instance had with it.
-        """
+        """Records the outcome and latency of a request."""
         self.health(instance).outstanding -= 1
         self._changed.add(instance)
         reset_evidence = _RESET_EVIDENCE.get(outcome, 0.0)
@@ -303,11 +295,6 @@
         elif outcome is ExchangeOutcome.OK:
             mean_s = self.mean_latency_s(service)
             self._mean_latencies_s[service] = mean_s + _LATENCY_WEIGHT * (latency_s - mean_s)
-            speed = self._speeds.setdefault(service, ServiceSpeed())
-            slowness, log_ratio = self.health(instance).slowness, speed.add(latency_s, load)
-            slowness.add(now_s, log_ratio)
-            slowness.unreported_log += log_ratio
-            slowness.unreported_count += 1
 
     def on_limit(self, now_s: float, instance: str, limit_per_s: float) -> bool:
         """Records the limit that a response of an instance names, or infinity if it names none.
@@ -360,11 +347,8 @@
                     health.unreported_refusals,
                     health.unreported_requests,
                     health.unreported_limit_per_s,
-                    health.slowness.unreported_log,
-                    health.slowness.unreported_count,
                 )
             )
-            health.slowness.unreported_log, health.slowness.unreported_count = 0.0, 0
             (
                 health.unreported_reset_evidence,
                 health.unreported_error_evidence,
@@ -393,9 +377,6 @@
             health.set_peer(host, observation.outstanding)
             if reset_evidence or error_evidence:
                 health.add_evidence(now_s, reset_evidence, error_evidence)
-            if observation.responses > 0:
-                log_ratio = observation.log_slowness / observation.responses
-                health.slowness.add(now_s, log_ratio, observation.responses)
             if observation.refusals > 0:
                 health.on_refusals(now_s, observation.refusals)
             if observation.limit_per_s >= 0:
--- a/anviltray/decisions/placement/_placement.py
+++ b/anviltray/decisions/placement/_placement.py
@@ -13,14 +13,10 @@
 from anviltray.decisions.placement._evidence import HealthTracker, InstanceHealth
 from anviltray.declarations import Instance
 
-# Costs in units of one mean service time: load below the capacity of an instance, and the local
-# availability zone, the local region and other regions. Beside the bytes, what is known of the load
-# of other zones is half a second old, and a wrong guess costs a place in a queue. With lower costs
-# more requests leave their zone and fewer of them meet their target.
+# Costs in units of one mean service time: load below the capacity of an instance, and the distance
+# to the local availability zone, the local region and other regions.
 _BUSY_COST = 0.3
-_ZONE_COST = (0.0, 0.25, 0.65)
-# Round trips to the same places, which cost more the shorter the service time is.
-_ROUND_TRIP_S = (0.0, 0.008, 0.016)
+_DISTANCE_COST = (0.0, 0.3, 0.7)
 # Cost of a new connection, which takes round trips and briefly a slot of the instance. It is below
 # the cost of distance and of one waiting request, so that it only decides between instances with
 # similar load in the same zone.
@@ -121,7 +117,6 @@
     unhealthy_probability: float  # Probability that the instance is unhealthy.
     evidence_age_s: float  # Age of the latest evidence about it.
     explores: bool  # Whether the request probes an uncertain instance.
-    slowness: float = 1.0  # Service time of the instance relative to the mean of the service.
 
 
 class Shed(NamedTuple):
@@ -169,7 +164,6 @@
     health: InstanceHealth
     load: float  # Requests per slot at normal speed, including this one.
     cost: float  # Cost of load, distance and failure in mean service times.
-    slowness: float  # Service time relative to the mean of the service.
 
 
 class _Entry(NamedTuple):
@@ -253,7 +247,7 @@
         entries = [_Entry(instance, self._tracker.health(instance.id)) for instance in instances]
         tiers = tuple(
             tuple(entry for entry in entries if self._distance(entry.instance) == distance)
-            for distance in range(len(_ZONE_COST))
+            for distance in range(len(_DISTANCE_COST))
         )
         self._tiers_by_service[service] = _ServiceTiers(instances, tiers)
         return tiers
@@ -269,7 +263,7 @@
     def _best_of(self, now_s: float, request: PlacementRequest, tiers: _Tiers) -> _Candidate | None:
         best: _Candidate | None = None
         for distance, entries in enumerate(tiers):
-            distance_cost = self._distance_cost(request, distance)
+            distance_cost = _DISTANCE_COST[distance]
             if best is None or best.cost > distance_cost:
                 best = self._best(now_s, request, entries, distance_cost, best)
         return best
@@ -320,12 +314,11 @@
         if self._instances.is_warming(now_s, instance.id):
             slots *= _WARMUP_SPEED
         load = (health.total_outstanding + 1) / slots + health.refusal_load(now_s)
-        slowness = health.slowness.factor(now_s)
-        cost = (max(0.0, load - 1) + 1) * slowness - 1 + _BUSY_COST * load
+        cost = max(0.0, load - 1) + _BUSY_COST * load
         cost += distance_cost + _failure_cost(request) * health.unhealthy_probability(now_s)
         if not self._connections.can_reuse(instance.address, request.unrepeatable):
             cost += _CONNECT_COST
-        return _Candidate(instance, health, load, cost + noise, slowness)
+        return _Candidate(instance, health, load, cost + noise)
 
     def _accepts(self, now_s: float, instance: Instance, health: InstanceHealth) -> bool:
         """Returns whether the instance takes a request now, by its own statements."""
@@ -344,10 +337,6 @@
         ]
         return min(waits_s, default=0.0)
 
-    def _distance_cost(self, request: PlacementRequest, distance: int) -> float:
-        mean_s = self._tracker.mean_latency_s(request.service)
-        return _ZONE_COST[distance] + _ROUND_TRIP_S[distance] / max(mean_s, 0.02)
-
     def _distance(self, instance: Instance) -> int:
         if instance.zone == self._locality.zone:
             return 0
@@ -438,7 +427,7 @@
         allowed time, because it is unknown for one request: a request with a short deadline must
         not be shed because other requests of the service take long.
         """
-        mean_s = self._tracker.mean_latency_s(service) * candidate.slowness
+        mean_s = self._tracker.mean_latency_s(service)
         return max(0.0, candidate.load - 1) * mean_s + min(mean_s, _SERVICE_TIME_SHARE * allowed_s)
 
     def _retry_after_s(self, delay_s: float) -> float:
@@ -479,5 +468,4 @@
         health.unhealthy_probability(now_s),
         now_s - health.last_evidence_s,
         explores,
-        candidate.slowness,
     )
--- a/anviltray/edge/_attempt.py
+++ b/anviltray/edge/_attempt.py
@@ -149,7 +149,6 @@
             "unhealthy_probability": round(placed.unhealthy_probability, 3),
             "evidence_age_s": round(min(placed.evidence_age_s, _MAX_LOGGED_AGE_S), 2),
             "explores": placed.explores,
-            "slowness": round(placed.slowness, 2),
         }
 
     def exchange_fields(self) -> dict[str, Any]:
@@ -190,7 +189,6 @@
             self._service,
             outcome,
             now_s - self.started_s,
-            self.placed.load,
         )
         if self._health_tracker.urgent:
             self.on_evidence()
--- a/anviltray/messages/_generated.py
+++ b/anviltray/messages/_generated.py
@@ -176,14 +176,10 @@
     limit_per_s: (
         float  # New limit of the fleet's requests per second; inf is none, negative unchanged.
     )
-    log_slowness: (
-        float  # Sum of the logarithms of its response times relative to the service's mean.
-    )
-    responses: int  # Complete responses since the last report.
 
 
 def _decode_instance_observation(data: Any) -> InstanceObservation:
-    items = check_arity("InstanceObservation", data, 9)
+    items = check_arity("InstanceObservation", data, 7)
     return InstanceObservation(
         instance=decode_str(items[0]),
         outstanding=decode_int(items[1]),
@@ -192,8 +188,6 @@
         refusals=decode_int(items[4]),
         requests=decode_int(items[5]),
         limit_per_s=decode_float(items[6]),
-        log_slowness=decode_float(items[7]),
-        responses=decode_int(items[8]),
     )
 
 
