--- a/anviltray/edge/tests/allotment_fleet.py
+++ b/anviltray/edge/tests/allotment_fleet.py
@@ -59,7 +59,7 @@
         self.exchange = Exchange(fleet, HostLocality(address, zone))
         settings = HostSettings(
             *("n", address, ZONES[zone], zone, ZONES, f"{address}:1", "", "", 1, ("10.9.9.9",)),
-            *("", 1.5, first_start, 1, GUARANTEES),
+            *("", 1.5, first_start, 1, 1, GUARANTEES),
         )
         self.allotments = Allotments(
             settings,
