--- a/review/stand2/fleet.py
+++ b/review/stand2/fleet.py
@@ -96,6 +96,7 @@
     target: str
     headers: dict[str, str]  # Names in lower case.
     body: bytes
+    is_closed: Callable[[], bool]  # Whether the sender has closed the connection.
 
 
 class Answer(NamedTuple):
@@ -176,7 +177,7 @@
                     await read_chunked(reader, body)
                 else:
                     body += await reader.readexactly(int(headers.get("content-length", 0)))
-                request = Request(method, target, headers, bytes(body))
+                request = Request(method, target, headers, bytes(body), reader.at_eof)
                 if headers.get("expect-instance", self.key) != self.key:
                     writer.write(
                         b"HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\n"
