--- a/review/stand2/fleet.py
+++ b/review/stand2/fleet.py
@@ -475,7 +475,7 @@
 ) -> Answer:
     """Sends one client attempt and records its answer."""
     record.write(f"client sends {request_id}: {head}")
-    body = b"" if head.startswith("GET") else b"x" * 16
+    body = b"x" * 16 if head.startswith("POST") else b""
     headers = {"Request-Id": request_id, "Deadline-Ms": str(deadline_ms)}
     answer = await exchange(address, head.encode(), headers, body)
     kind = "complete" if answer.complete else "broken off"
