--- a/review/stand2/fleet.py
+++ b/review/stand2/fleet.py
@@ -113,10 +113,18 @@
 
 
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
-    """Reads a start line and the header fields."""
+    """Reads a start line and the header fields.
+
+    Lines with the same name are combined, separated by commas (RFC 9110, 5.3).
+    """
     lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-    fields = (line.split(":", 1) for line in lines[1:] if line)
-    return lines[0], {name.strip().lower(): value.strip() for name, value in fields}
+    fields: dict[str, str] = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            name, value = name.strip().lower(), value.strip()
+            fields[name] = f"{fields[name]}, {value}" if name in fields else value
+    return lines[0], fields
 
 
 async def read_chunked(reader: asyncio.StreamReader, body: bytearray) -> None:
