--- a/review/stand2/fleet.py
+++ b/review/stand2/fleet.py
@@ -503,11 +503,15 @@
     record.write(f"trouble: {'yes' if trouble else 'no'}")
 
     async def limited() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         return await asyncio.wait_for(case(record, trouble), limit_s)
 
     try:
         broken = asyncio.run(limited())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"the case couldn't run: {error!r}")
         return 2
     record.write("the rule was broken" if broken else "the rule held")
