--- a/review/stand2/fleet.py
+++ b/review/stand2/fleet.py
@@ -214,17 +214,17 @@
 
 
 def route(name: str, kind: str, service: str, **fields: object) -> dict[str, object]:
-    """Returns a route for the path /NAME/."""
+    """Returns a route for the path /NAME/, with the times that `fleetbench wire` shows."""
     return {
         "name": name,
         "host": HOST,
         "pathPrefix": f"/{name}/",
         "kind": kind,
-        "timeoutMs": 8000,
+        "timeoutMs": 3000 if kind == "safe" else 4000,
         "targetLatencyMs": 1200,
         "priority": 1,
         "service": service,
-        "maxAttempts": 3,
+        "maxAttempts": 2,
     } | fields
 
 
@@ -350,12 +350,16 @@
         assert self._process is not None
         return await self._process.wait()
 
-    async def close(self) -> None:
-        """Ends the process."""
+    def kill(self) -> None:
+        """Ends the process at once."""
         if self._process is not None and self._process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
-                self._process.send_signal(signal.SIGCONT)
                 self._process.kill()
+
+    async def close(self) -> None:
+        """Ends the process."""
+        self.kill()
+        if self._process is not None:
             await self._process.wait()
 
     async def is_ready(self) -> bool:
@@ -403,6 +407,8 @@
         return self
 
     async def __aexit__(self, *error: object) -> None:
+        for edge in self.edges:
+            edge.kill()  # All of them first, in case that this is interrupted.
         for edge in self.edges:
             await edge.close()
         for instance in self.instances:
