Fail the body of a response whose connection this host has closed itself

Cause: aiohttp takes a lost connection for the end of a body without a length, and asyncio reports a close by this side in the same way as the end of the stream by the peer: connection_lost(None). Only an error was handled. The host closes its client for upstreams at the end of the grace period, while requests are in flight.

Change: the handler of a connection remembers whether the upstream has ended the stream (eof_received). It keeps the body itself, as `close` drops aiohttp's reference before the loss is reported.

Related: `at_end` and `read_rest_nowait` looked at the end of the stream only, so a part that arrived in the same step as a reset counted as whole in the program for nodes, and relay() had its check outside of its handler of such errors. Looked at and sound: time limits, the loser of two attempts and callers that leave cancel the reader; withdrawn instances lose idle connections only.

--- a/anviltray/callers/_relay.py
+++ b/anviltray/callers/_relay.py
@@ -26,13 +26,13 @@
     response.headers.append(_DONE)
     if call.rule is None and call.request_id is not None:
         response.headers.append((REQUEST_ID_HEADER, call.request_id.encode()))
-    rest = response.read_rest_nowait()
-    if rest is not None:
-        _send_complete(context, call, attempt, response, rest)
-        response.close()
-        return None
-    timer = asyncio.get_running_loop().call_at(call.deadline_s, call.expire)
+    timer: asyncio.TimerHandle | None = None
     try:
+        rest = response.read_rest_nowait()
+        if rest is not None:
+            _send_complete(context, call, attempt, response, rest)
+            return None
+        timer = asyncio.get_running_loop().call_at(call.deadline_s, call.expire)
         await _copy(context, call, attempt, response)
         return None
     except UpstreamError:
@@ -51,7 +51,8 @@
         )
         failure = _TIMED_OUT
     finally:
-        timer.cancel()
+        if timer is not None:
+            timer.cancel()
         response.close()
     if exchange.response_started:
         exchange.abort()
--- /dev/null
+++ b/anviltray/edge/tests/test_stop_during_response.py
@@ -0,0 +1,111 @@
+"""Guards against a part of a response that a stopping host passes on as the whole one."""
+
+import asyncio
+
+import pytest
+
+from anviltray.callers.tests.support import encode, read_response
+from anviltray.edge.tests.support import SEAL, Fleet, configuration, route
+
+TIMEOUT_MS = 9000  # Later than the end of the grace period of the settings of the fleet.
+PART = b"0123456789" * 20
+BLOCK = b"x" * 65536
+STREAMED_BLOCKS = 6  # More than a host holds back until a response is whole.
+HEAD = f"HTTP/1.1 200 OK\r\n{SEAL}Request-Id: c1\r\n"
+FRAMINGS = ["Connection: close", "Content-Length: 4000000", "Transfer-Encoding: chunked"]
+
+
+def send_part(framing, parts, pause_s=0.0):
+    """Returns the handler of an instance that sends parts of a response and then nothing more."""
+
+    async def answer(request, writer):
+        writer.write(f"{HEAD}{framing}\r\n\r\n".encode())
+        for part in parts:
+            chunked = framing.endswith("chunked")
+            writer.write(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+        await asyncio.Event().wait()
+
+    return answer
+
+
+def run(tmp_path, test, handler):
+    async def main():
+        async with Fleet(tmp_path, [handler]) as fleet:
+            routes = [
+                route("level", "safe", timeout_ms=TIMEOUT_MS),
+                route("order", "unsafe", timeout_ms=TIMEOUT_MS),
+            ]
+            fleet.store.append_record("keyed.op", "config", configuration(2, routes))
+            host = fleet.hosts[0]
+            await fleet.until(lambda: host.state.configuration.version == 2)
+            await asyncio.wait_for(test(fleet, host), 20)
+
+    asyncio.run(main())
+
+
+async def connect(host, head, version="1.1"):
+    """Sends one request, and returns the connection."""
+    address, port = host.settings.caller_address.split(":")
+    reader, writer = await asyncio.open_connection(address, int(port))
+    request = encode(head, Request_Id="c1", Deadline_Ms=str(TIMEOUT_MS))
+    writer.write(request.replace(b"HTTP/1.1", f"HTTP/{version}".encode()))
+    return reader, writer
+
+
+def is_complete(received, was_reset):
+    """Returns whether a caller takes what it has received for a whole response."""
+    head, _, body = received.partition(b"\r\n\r\n")
+    fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
+    if b"content-length" in fields:
+        return len(body) == int(fields[b"content-length"])
+    if b"transfer-encoding" in fields:
+        return body.endswith(b"0\r\n\r\n")
+    return bool(head) and not was_reset
+
+
+async def receive_all(reader):
+    received, was_reset = bytearray(), False
+    try:
+        while data := await reader.read(1 << 20):
+            received += data
+    except ConnectionError:
+        was_reset = True
+    return bytes(received), was_reset
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("head", ["GET /level/1", "POST /order/1"])
+def test_response_that_is_held_back_at_the_end_of_a_host_is_a_bad_gateway(tmp_path, head, framing):
+    async def test(fleet, host):
+        reader, writer = await connect(host, head)
+        await fleet.until(lambda: fleet.received() == 1)
+        await asyncio.sleep(0.1)
+        await host.stop()
+        response = await asyncio.wait_for(read_response(reader), 2)
+        assert response.status == 502
+        assert b"unknown" in response.body
+        assert fleet.received() == 1  # No attempt at the end of the host.
+        writer.close()
+
+    run(tmp_path, test, send_part(framing, [PART]))
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_response_that_is_streamed_at_the_end_of_a_host_does_not_look_complete(
+    tmp_path, framing, version
+):
+    async def test(fleet, host):
+        reader, writer = await connect(host, "POST /order/1", version)
+        receiving = asyncio.create_task(receive_all(reader))
+        await fleet.until(lambda: fleet.received() == 1)
+        await asyncio.sleep(0.2)
+        await host.stop()
+        received, was_reset = await asyncio.wait_for(receiving, 2)
+        assert b" 200 " in received
+        assert not is_complete(received, was_reset)
+        writer.close()
+
+    run(tmp_path, test, send_part(framing, [BLOCK] * STREAMED_BLOCKS))
--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -120,14 +120,20 @@
         self.signals = signals
 
     def read_rest_nowait(self) -> bytes | None:
-        """Returns the remaining body if it has arrived completely, else None."""
+        """Returns the remaining body if it has arrived completely, else None.
+
+        Raises ExchangeBroken if the rest of the body cannot arrive anymore.
+        """
         content = self._response.content
+        if (error := content.exception()) is not None:
+            raise ExchangeBroken(f"the response body was truncated: {error}") from error
         return content.read_nowait(-1) if content.is_eof() else None
 
     @property
     def at_end(self) -> bool:
-        """Whether the whole body has been read."""
-        return self._response.content.at_eof()
+        """Whether the whole body has been received and read."""
+        content = self._response.content
+        return content.at_eof() and content.exception() is None
 
     async def read_chunk(self) -> bytes:
         """Returns the next bytes of the body, or empty bytes at its end; raises ExchangeBroken."""
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -66,6 +66,9 @@
     Responses to earlier requests of the connection that are written once more ahead of the response
     to the current one are skipped; their identifiers tell.
 
+    A body without a length ends with its connection, and only if the upstream has ended it: what
+    this host closes or loses is truncated, for whatever reason.
+
     aiohttp drops a complete response if bytes in the same segment cannot be parsed, accepts
     informational responses and chunk extensions without end, and reports an invalid chunk only to
     the reader of the next response head.
@@ -88,6 +91,8 @@
         self._head_bytes = 0
         self._informational_count = 0
         self._received_body_bytes = 0  # With their framing.
+        self._body: StreamReader | None = None  # Of the response that was received last.
+        self._ended_by_upstream = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limits the bytes that one read adds to the buffer of a response."""
@@ -124,6 +129,7 @@
         self._received_body_bytes = 0
         self._skipped_count = 0
         self._skipped_body_bytes = 0
+        self._body = None
         super().set_response_params(**arguments)
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
@@ -137,6 +143,7 @@
             self._on_skipped()
         elif status >= _FIRST_FINAL_STATUS or status == HTTPStatus.SWITCHING_PROTOCOLS:
             self._has_final_head = True
+            self._body = data[1]
             self._on_skipped = _ignore_skipped  # Keeps nothing of the exchange alive while idle.
             timeout = _KEEP_ALIVE_TIMEOUT.search(data[0].headers.get(hdrs.KEEP_ALIVE, ""))
             if timeout is not None:
@@ -249,15 +256,23 @@
         error = HttpProcessingError(message=reason) if isinstance(reason, str) else reason
         self.set_exception(error)
 
+    def eof_received(self) -> None:
+        """Records that the upstream has ended the connection in an orderly way."""
+        self._ended_by_upstream = True
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fails the body of the current response if the connection was lost with an error.
+        """Fails the body of the current response unless the upstream has ended the connection.
 
-        aiohttp treats a lost connection as the end of a body without length, even if the upstream
-        has reset the connection.
+        aiohttp treats a lost connection as the end of a body without length, even if it was reset
+        or if this host has closed it. The reader of any other body would wait on after `close`.
         """
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(ClientPayloadError(f"the connection was lost: {exc}"))
+        body = self._body
+        if body is not None and not body.is_eof():
+            if exc is not None:
+                body.set_exception(ClientPayloadError(f"the connection was lost: {exc}"))
+            elif not self._ended_by_upstream:
+                body.set_exception(ClientPayloadError("this host has closed the connection"))
         super().connection_lost(exc)
 
     def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
