End the requests in flight before a host closes its connections to instances

What callers saw: a request whose body was still on its way at the end of the grace period got no response; its connection was closed by the end of the process. Others got the 502 of an exchange that had failed, after a further attempt on a client that was closed already.

Cause: Edge.close cancelled the servers and the tasks of the host, and closed the client for upstreams, but no request in flight. Each of them ended by what it noticed of that, and what had noticed nothing was cancelled when the event loop was closed, with no response.

Change: the dispatcher knows its requests in flight and interrupts them first. A request that no instance has got is rejected with 503, which is true as it cannot reach one anymore; any other one ends with 502 and outcome unknown; the connection of a response that was streamed in part is reset. The lines of these requests have `interrupted`, so they are told apart from exchanges that an instance broke off, and nothing is held against the instance. A host that ends for a failed task does the same.

--- a/anviltray/edge/_attempts.py
+++ b/anviltray/edge/_attempts.py
@@ -64,6 +64,8 @@
                 entry["result"] = "timed-out"
             elif call.exchange.disconnected:
                 entry["result"] = "caller-left"
+            elif call.interrupted:
+                entry["result"] = "interrupted"
             else:
                 entry["result"] = "overtaken"
                 self._record_response_time(call, recorder)
--- a/anviltray/edge/_call.py
+++ b/anviltray/edge/_call.py
@@ -14,7 +14,6 @@
 
     __slots__ = (
         "_clock",
-        "_task",
         "account",
         "admitted",
         "allotted",
@@ -24,6 +23,7 @@
         "expires_s",
         "head",
         "history",
+        "interrupted",
         "priority",
         "problem",
         "received_s",
@@ -31,6 +31,7 @@
         "route",
         "sent",
         "service",
+        "task",
         "timed_out",
     )
 
@@ -54,12 +55,13 @@
         self.history: list[dict[str, Any]] = []  # Waits, attempts and their inputs, for the log.
         self.problem = ""  # Name of the problem that the host responded with itself, for the log.
         self.timed_out = False
+        self.interrupted = False  # Whether the host has ended the request because it stops.
         self.sent = False  # Whether an attempt may have reached an instance.
         self.rejected = False  # Whether all instances that were reached have rejected it.
         self.allotted: AllottedRequest | None = None  # Its part of the account's allotted rate.
         # False while a non-idempotent request may be running; it then continues without its caller.
         self.cancellable = True
-        self._task = asyncio.current_task()
+        self.task = asyncio.current_task()
 
     def set_admitted(self, admitted: AdmittedRequest) -> None:
         """Applies what the configuration says about the request, also when it has changed."""
@@ -90,21 +92,27 @@
     def expire(self) -> None:
         """Cancels the request because its deadline has passed."""
         self.timed_out = True
-        if self._task is not None:
-            self._task.cancel()
+        if self.task is not None:
+            self.task.cancel()
+
+    def interrupt(self) -> None:
+        """Cancels the request because the host ends."""
+        self.interrupted = True
+        if self.task is not None:
+            self.task.cancel()
 
     def on_disconnect(self) -> None:
         """Cancels the request of a disconnected caller if it is cancellable.
 
         A request whose body can no longer become complete is cancelled in any case.
         """
-        if (self.cancellable or self.exchange.more_body) and self._task is not None:
-            self._task.cancel()
+        if (self.cancellable or self.exchange.more_body) and self.task is not None:
+            self.task.cancel()
 
-    def clear_timeout(self) -> bool:
-        """Returns whether `expire` caused the cancellation, and if so clears it."""
-        if not self.timed_out:
+    def clear_cancellation(self) -> bool:
+        """Returns whether `expire` or `interrupt` caused the cancellation, and if so clears it."""
+        if not (self.timed_out or self.interrupted):
             return False
-        if self._task is not None:
-            self._task.uncancel()
+        if self.task is not None:
+            self.task.uncancel()
         return True
--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -44,6 +44,8 @@
 _HEDGE_RETRY_INTERVAL_S = 0.2
 # Part of a request's time in which it waits for its allotted rate while the host starts.
 _ALLOTMENT_WAIT_SHARE = 1 / 4
+# Limit for the last responses of a host that ends; no step of them waits for anything.
+_INTERRUPTION_TIMEOUT_S = 0.2
 _DEFAULT_RETRY_AFTER_S = 0.4  # Retry-After if placement gives no estimate.
 _MIN_RETRY_AFTER_S = 0.1  # Retry-After if another host can serve the request at once.
 
@@ -58,6 +60,13 @@
     502, "upstream-failed", "the exchange with the instance failed", "unknown"
 )
 _TIMEOUT = Problem(504, "timeout", "the time of the request is over", "unknown")
+_INTERRUPTED = Problem(
+    502,
+    "interrupted",
+    "the host ended before the whole response had arrived",
+    "unknown",
+    close=True,
+)
 _BODY_TIMEOUT = Problem(408, "body-timeout", "the request body took too long", close=True)
 _INTERNAL_ERROR = Problem(500, "internal-error", "the host failed", "unknown", close=True)
 
@@ -82,6 +91,7 @@
         self._allotments = allotments
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
+        self._calls: set[EdgeCall] = set()  # In flight.
         self._caller_headers = caller_headers
         self._load_wait = LoadWait(state.loaded, metrics)
         self.set_limits(settings)
@@ -99,6 +109,20 @@
         """Drops what is kept for services that no longer exist."""
         self._waits.keep_only(services)
 
+    async def interrupt_requests(self) -> int:
+        """Ends all requests in flight because the host ends; returns their number.
+
+        A request that no instance has got is rejected, the outcome of any other one is unknown. The
+        connection of a response that has been streamed in part is reset.
+        """
+        calls = tuple(self._calls)
+        for call in calls:
+            call.interrupt()
+        tasks = [call.task for call in calls if call.task is not None]
+        if tasks:
+            await asyncio.wait(tasks, timeout=_INTERRUPTION_TIMEOUT_S)
+        return len(calls)
+
     async def __call__(self, scope: object, receive: object, send: object) -> None:
         """Serves one request."""
         exchange: CallerExchange = scope["anviltray.exchange"]  # type: ignore[index]
@@ -128,6 +152,7 @@
         body = RequestBody(exchange, head.content_length, self._body_limit)
         call = EdgeCall(exchange, head, body, admitted, state.clock, received_s)
         exchange.on_disconnect = call.on_disconnect
+        self._calls.add(call)
         timer = self._loop.call_later(call.remaining_s(), call.expire)
         status = 0
         try:
@@ -140,8 +165,8 @@
         except asyncio.CancelledError:
             if exchange.disconnected and not call.timed_out:
                 self._metrics.count("callers_left")
-            elif call.clear_timeout():
-                status = self._end_with_problem(call, self._timeout_problem(call))
+            elif call.clear_cancellation():
+                status = self._end_with_problem(call, self._cancellation_problem(call))
             else:
                 raise
         except Exception:
@@ -149,6 +174,7 @@
             status = self._end_with_problem(call, _INTERNAL_ERROR)
         finally:
             timer.cancel()
+            self._calls.discard(call)
             exchange.on_disconnect = None
             if call.allotted is not None and not call.may_have_executed:
                 self._allotments.refund(call.allotted)
@@ -160,7 +186,9 @@
         self._metrics.record_response("unrouted", problem.status, 0.0)
         self._admission.log_rejection(head, problem)
 
-    def _timeout_problem(self, call: EdgeCall) -> Problem:
+    def _cancellation_problem(self, call: EdgeCall) -> Problem:
+        if call.interrupted:
+            return _INTERRUPTED if call.attempted else _STOPPING
         if call.attempted:
             # An instance may have started on the part of the body that reached it.
             return _TIMEOUT
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -228,7 +228,8 @@
 
         The host becomes not ready and leaves the directory. It serves callers that have cached its
         address, then closes its listener and completes the requests in flight. Requests that are
-        complete only in the second half of the grace period are rejected.
+        complete only in the second half of the grace period are rejected, and those that are still
+        in flight at its end are interrupted.
         """
         loop = asyncio.get_running_loop()
         grace_s = self.settings.guarantees.grace_s
@@ -248,7 +249,12 @@
         self.state.accepts_requests = False
 
     async def close(self) -> None:
-        """Cancels all tasks and closes all sockets at once."""
+        """Ends the requests in flight, cancels all tasks and closes all sockets."""
+        self.state.accepts_requests = False
+        # Before the connections to instances are closed: these requests must not be retried.
+        interrupted = await self._dispatcher.interrupt_requests()
+        if interrupted:
+            _log.warning("requests interrupted", extra={"requests": interrupted})
         if self._slack_timer is not None:
             self._slack_timer.cancel()
         self._stop_callers.set()
--- a/anviltray/edge/tests/test_stop_during_response.py
+++ b/anviltray/edge/tests/test_stop_during_response.py
@@ -86,7 +86,7 @@
         response = await asyncio.wait_for(read_response(reader), 2)
         assert response.status == 502
         assert b"unknown" in response.body
-        assert fleet.received() == 1  # No attempt at the end of the host.
+        assert fleet.received() == 1
         writer.close()
 
     run(tmp_path, test, send_part(framing, [PART]))
@@ -109,3 +109,21 @@
         writer.close()
 
     run(tmp_path, test, send_part(framing, [BLOCK] * STREAMED_BLOCKS))
+
+
+def test_request_that_no_instance_has_got_is_rejected_at_the_end_of_a_host(tmp_path):
+    """Guards against a request that is neither rejected nor answered: its body is incomplete."""
+
+    async def test(fleet, host):
+        address, port = host.settings.caller_address.split(":")
+        reader, writer = await asyncio.open_connection(address, int(port))
+        request = encode("POST /order/1", PART, Request_Id="c1", Deadline_Ms=str(TIMEOUT_MS))
+        writer.write(request[:-1])
+        await asyncio.sleep(0.1)
+        await host.stop()
+        response = await asyncio.wait_for(read_response(reader), 2)
+        assert response.status == 503
+        assert fleet.received() == 0
+        writer.close()
+
+    run(tmp_path, test, send_part(FRAMINGS[0], [PART]))
