Reset the connection of an HTTP/1.0 caller whatever ends it within a response

What callers saw: a caller of HTTP/1.0 gets a streamed response without a length, and its connection ended in an orderly way when the process was killed or its event loop was closed. The part looked like the whole response.

Cause: only `abort` set the connection to be reset. The kernel closes the connections of a process that ends in the ordinary way, and uvicorn does the same for a request whose task is cancelled.

Change: the connection is set to be reset when such a response begins, and back when it ends. Its writes wait until the kernel has taken all bytes, so that nothing is left in the process at the end; the kernel delivers it also if the process is gone then. Chunked responses and those with a length need none of this.

Result: a host that is killed while it streams to such a caller failed test_response_that_is_streamed_when_a_host_is_killed_does_not_look_complete before and passes.

--- a/anviltray/callers/_exchange.py
+++ b/anviltray/callers/_exchange.py
@@ -25,6 +25,7 @@
     from anviltray.callers._protocol import CallerProtocol
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER on with 0 s.
+_ORDERLY_CLOSE = struct.pack("ii", 0, 0)  # SO_LINGER off, the default.
 
 
 class CallerDisconnected(InputError):
@@ -59,6 +60,7 @@
         self.write_blocked_since: float | None = None  # Loop time; None unless waiting to write.
         self._write_blocked_s = 0.0  # Total of the finished waits to write.
         self._chunked = False
+        self._ends_by_close = False  # Whether the end of the connection ends the response.
         self.held_bytes = 0  # Memory of the head, the body and the response of this request.
         self._detached = False  # Whether the connection was lost while the request continues.
         self._finished = False
@@ -211,8 +213,12 @@
                 extra = [(b"transfer-encoding", b"chunked")]
             else:
                 # HTTP/1.0 has no chunked coding: closing the connection ends the body, and a reset
-                # indicates that it was truncated.
-                close = True
+                # indicates that it was truncated. The kernel resets it whatever closes it before
+                # `end`, also if the process is killed.
+                close = self._ends_by_close = True
+                self._set_linger(_RESET_ON_CLOSE)
+                # Each write waits until the kernel has all bytes, so none are lost after `end`.
+                self.transport.set_write_buffer_limits(high=0)
         head = self._head(status, [*headers, *extra], close)
         if first_chunk:
             head.extend(self._frame(first_chunk))
@@ -239,6 +245,8 @@
             return
         if self._chunked:
             self.transport.write(b"0\r\n\r\n")
+        elif self._ends_by_close:
+            self._set_linger(_ORDERLY_CLOSE)
         self._complete()
 
     def abort(self) -> None:
@@ -246,10 +254,14 @@
         self.disconnected = True
         if self.transport.is_closing():
             return
+        self._set_linger(_RESET_ON_CLOSE)
+        self.transport.abort()
+
+    def _set_linger(self, option: bytes) -> None:
+        """Sets how the kernel closes the connection."""
         sock = self.transport.get_extra_info("socket")
         if sock is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        self.transport.abort()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
 
     def _head(
         self, status: int, headers: Sequence[tuple[bytes, bytes]], close: bool
--- a/anviltray/callers/tests/test_responses.py
+++ b/anviltray/callers/tests/test_responses.py
@@ -8,7 +8,15 @@
 
 import pytest
 
-from anviltray.callers.tests.support import Node, Upstream, encode, ok, raw, read_response
+from anviltray.callers.tests.support import (
+    Node,
+    Upstream,
+    encode,
+    ok,
+    raw,
+    read_body,
+    read_response,
+)
 
 MEGABYTE = 1 << 20
 
@@ -81,6 +89,39 @@
     run(answer, test)
 
 
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_streamed_response_reaches_a_slow_caller_whole(version):
+    """The connection of a caller of HTTP/1.0 is reset if it ends before the response does."""
+    body = bytes(range(256)) * 4096
+    blocks = [body[start : start + 32768] for start in range(0, len(body), 32768)]
+
+    async def answer(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for block in blocks:
+            writer.write(b"%x\r\n%b\r\n" % (len(block), block))
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    async def test(node, upstream):
+        reader, writer = await connect(node, 4096)
+        request = encode("POST /crews", Connection="close")
+        writer.write(request.replace(b"HTTP/1.1", f"HTTP/{version}".encode()))
+        received = bytearray()
+        while data := await asyncio.wait_for(reader.read(16384), 5):
+            received += data
+            await asyncio.sleep(0.002)
+        head, _, content = bytes(received).partition(b"\r\n\r\n")
+        if version == "1.1":
+            framed = asyncio.StreamReader()
+            framed.feed_data(content)
+            content = await read_body(framed, {"transfer-encoding": "chunked"})
+        assert head.startswith(b"HTTP/1.1 200")
+        assert content == body
+        writer.close()
+
+    run(answer, test)
+
+
 @pytest.mark.parametrize(("method", "chunked"), [("GET", False), ("POST", False), ("POST", True)])
 def test_large_bodies_both_ways_use_bounded_memory(method, chunked):
     size = 48 * MEGABYTE
--- a/anviltray/edge/tests/support.py
+++ b/anviltray/edge/tests/support.py
@@ -155,18 +155,19 @@
     def address(self, number):
         return f"{self.network}.{number}"
 
+    def settings_text(self, number, zone="viti-suva"):
+        return SETTINGS.format(
+            number=number,
+            ip=self.address(number),
+            seed=self.address(1),
+            zone=zone,
+            port=17700,
+            store=self.store.address,
+        )
+
     def settings(self, number, zone="viti-suva"):
         path = self.directory / f"{number}.toml"
-        path.write_text(
-            SETTINGS.format(
-                number=number,
-                ip=self.address(number),
-                seed=self.address(1),
-                zone=zone,
-                port=17700,
-                store=self.store.address,
-            )
-        )
+        path.write_text(self.settings_text(number, zone))
         return load_host_settings(path)
 
     async def start_host(self, number, zone="viti-suva"):
--- a/anviltray/edge/tests/test_daemon.py
+++ b/anviltray/edge/tests/test_daemon.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from anviltray.edge.tests.support import SETTINGS, Fleet, respond
+from anviltray.edge.tests.support import Fleet, respond
 
 ROOT = Path(__file__).resolve().parents[3]
 
@@ -39,14 +39,7 @@
     async def main():
         async with Fleet(tmp_path, [respond()]) as fleet:
             path = tmp_path / "process.toml"
-            text = SETTINGS.format(
-                number=9,
-                ip=fleet.address(9),
-                seed=fleet.address(1),
-                zone="viti-suva",
-                port=17700,
-                store=fleet.store.address,
-            )
+            text = fleet.settings_text(9)
             path.write_text(text)
             process = await start(path)
             try:
--- a/anviltray/edge/tests/test_stop_during_response.py
+++ b/anviltray/edge/tests/test_stop_during_response.py
@@ -6,6 +6,8 @@
 
 from anviltray.callers.tests.support import encode, read_response
 from anviltray.edge.tests.support import SEAL, Fleet, configuration, route
+from anviltray.edge.tests.test_daemon import start
+from anviltray.platform import load_host_settings
 
 TIMEOUT_MS = 9000  # Later than the end of the grace period of the settings of the fleet.
 PART = b"0123456789" * 20
@@ -45,9 +47,9 @@
     asyncio.run(main())
 
 
-async def connect(host, head, version="1.1"):
+async def connect(settings, head, version="1.1"):
     """Sends one request, and returns the connection."""
-    address, port = host.settings.caller_address.split(":")
+    address, port = settings.caller_address.split(":")
     reader, writer = await asyncio.open_connection(address, int(port))
     request = encode(head, Request_Id="c1", Deadline_Ms=str(TIMEOUT_MS))
     writer.write(request.replace(b"HTTP/1.1", f"HTTP/{version}".encode()))
@@ -79,7 +81,7 @@
 @pytest.mark.parametrize("head", ["GET /level/1", "POST /order/1"])
 def test_response_that_is_held_back_at_the_end_of_a_host_is_a_bad_gateway(tmp_path, head, framing):
     async def test(fleet, host):
-        reader, writer = await connect(host, head)
+        reader, writer = await connect(host.settings, head)
         await fleet.until(lambda: fleet.received() == 1)
         await asyncio.sleep(0.1)
         await host.stop()
@@ -98,7 +100,7 @@
     tmp_path, framing, version
 ):
     async def test(fleet, host):
-        reader, writer = await connect(host, "POST /order/1", version)
+        reader, writer = await connect(host.settings, "POST /order/1", version)
         receiving = asyncio.create_task(receive_all(reader))
         await fleet.until(lambda: fleet.received() == 1)
         await asyncio.sleep(0.2)
@@ -111,6 +113,32 @@
     run(tmp_path, test, send_part(framing, [BLOCK] * STREAMED_BLOCKS))
 
 
+def test_response_that_is_streamed_when_a_host_is_killed_does_not_look_complete(tmp_path):
+    """A caller of HTTP/1.0 tells the end of the response by the end of the connection only."""
+
+    async def main():
+        handler = send_part(FRAMINGS[0], [BLOCK] * STREAMED_BLOCKS)
+        async with Fleet(tmp_path, [handler]) as fleet:
+            path = tmp_path / "process.toml"
+            path.write_text(fleet.settings_text(9))
+            process = await start(path)
+            try:
+                await fleet.until(lambda: len(fleet.hosts[0].entry_addresses()) == 2, 10.0)
+                reader, writer = await connect(load_host_settings(path), "POST /order/1", "1.0")
+                receiving = asyncio.create_task(receive_all(reader))
+                await fleet.until(lambda: fleet.received() == 1)
+                await asyncio.sleep(0.3)
+            finally:
+                process.kill()
+                await process.wait()
+            received, was_reset = await asyncio.wait_for(receiving, 2)
+            assert b" 200 " in received
+            assert not is_complete(received, was_reset)
+            writer.close()
+
+    asyncio.run(asyncio.wait_for(main(), 30))
+
+
 def test_request_that_no_instance_has_got_is_rejected_at_the_end_of_a_host(tmp_path):
     """Guards against a request that is neither rejected nor answered: its body is incomplete."""
 
