Keep one unusable address from failing the choice among all instances

Cause: two faults. The check of registrations took off brackets wherever they were, so it accepted addresses that no URL can hold. And each choice asks the client for upstreams about each instance: it built a URL from the address and raised ValueError for the one that cannot be used, out of the choice among all of them.

Change: one parser of IP:port, in anviltray/schema, which replaces three checks that differed: those of registrations, of beacons of other hosts, and of declarations and settings. Brackets belong around IPv6 addresses and nowhere else. The client treats an address that it does not parse as an instance that cannot be reached, which costs the requests that are sent to it, and these go to another instance.

Related: the program for nodes has the same client. There one declared address of that kind ended the task that probes all upstreams; declarations and settings refuse it now, and the probe fails for this upstream only.

Sound IPv4 and IPv6 addresses pass as before (tests). A host that is bound to an IPv4 address cannot reach an instance with an IPv6 address, before and after: 503.

--- a/anviltray/platform/_documents.py
+++ b/anviltray/platform/_documents.py
@@ -1,6 +1,5 @@
 """Decodes the configuration and instance documents in the store."""
 
-import ipaddress
 import json
 from collections.abc import Mapping
 from typing import Any
@@ -14,10 +13,10 @@
     RoutingConfiguration,
 )
 from anviltray.platform._accounts import decode_accounts
+from anviltray.schema import is_endpoint
 
 # Larger numbers come from writers that are no instances. Integers in messages have 64 bits.
 _MAX_INTEGER = 2**63 - 1
-_MAX_PORT = 65535
 _MAX_SLOTS = 65535  # An instance has no more connections to one address than there are ports.
 _MAX_WARMUP_MS = 24 * 3600 * 1000.0
 
@@ -102,7 +101,7 @@
         if state not in ("ready", "draining"):
             raise DocumentInvalid(f"instance {key}: state must be ready or draining, not {state!r}")
         address = _get_string(document, "address")
-        if not _is_endpoint(address):
+        if not is_endpoint(address):
             raise DocumentInvalid(f"instance {key}: {address!r:.60} is not an address like IP:port")
         _get_integer(status, "sequence", _MAX_INTEGER)
         return Instance(
@@ -161,12 +160,3 @@
     if type(value) not in (int, float) or not abs(value) <= maximum:
         raise DocumentInvalid(f"{name!r} must be a number up to {maximum}")
     return float(value)
-
-
-def _is_endpoint(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return False
-    return port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) <= _MAX_PORT
--- a/anviltray/platform/tests/test_documents.py
+++ b/anviltray/platform/tests/test_documents.py
@@ -54,6 +54,11 @@
     assert not decoded.idempotent
 
 
+@pytest.mark.parametrize("address", ["10.128.0.9:8080", "[2001:db8::5]:8080"])
+def test_address_of_an_instance(address):
+    assert decode_instance("i-1", registration(address=address)).address == address
+
+
 @pytest.mark.parametrize(
     ("state", "draining"),
     [("ready", False), ("draining", True)],
@@ -103,6 +108,10 @@
         registration(address="10.0.0.1:" + "9" * 5000),
         registration(address="10.0.0.1:\u00b2"),
         registration(address="host.example:80"),
+        registration(address="::1:8144"),
+        registration(address="[::1:8144"),
+        registration(address="[10.0.0.1]:8144"),
+        registration(address="[fe80::1%eth0]:8144"),
         b'{"info":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
         b"[" * 100_000,
     ],
--- a/anviltray/schema/_validation.py
+++ b/anviltray/schema/_validation.py
@@ -1,6 +1,5 @@
 """Validation of YAML documents against the JSON Schemas of this package."""
 
-import ipaddress
 from functools import cache
 from importlib import resources
 from pathlib import Path
@@ -9,18 +8,15 @@
 import jsonschema
 import yaml
 
+from anviltray.schema._endpoints import is_endpoint
 from anviltray.schema._errors import DocumentError
 
 _FORMATS = jsonschema.FormatChecker(formats=())
 
 
-@_FORMATS.checks("ip-port", raises=ValueError)
+@_FORMATS.checks("ip-port")
 def _is_ip_port(value: object) -> bool:
-    if not isinstance(value, str):
-        return True
-    host, separator, port = value.rpartition(":")
-    ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-    return bool(separator) and port.isascii() and port.isdigit() and 0 < int(port) < 65536
+    return not isinstance(value, str) or is_endpoint(value)
 
 
 @cache
--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -21,6 +21,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from anviltray.schema import is_endpoint
 from anviltray.settings import UpstreamSettings
 from anviltray.telemetry import describe_error
 from anviltray.upstreams._acknowledgement import is_acknowledged
@@ -230,7 +231,7 @@
             sock_connect=settings.connect_timeout_s,
             ceil_threshold=settings.connect_timeout_s + 1,
         )
-        self._keys: dict[str, ConnectionKey] = {}
+        self._keys: dict[str, ConnectionKey | None] = {}  # None if no connection can be opened.
 
     def set_node_count(self, count: int, instance_connections: int | None = None) -> None:
         """Divides the connections that an instance accepts among `count` nodes.
@@ -248,11 +249,13 @@
 
     def close_idle(self, address: str) -> None:
         """Closes idle connections, so that the next exchange after a stall opens a new one."""
-        self._connector.close_idle(self._key(address))
+        if (key := self._key(address)) is not None:
+            self._connector.close_idle(key)
 
     def can_reuse(self, address: str, unrepeatable: bool) -> bool:
         """Returns whether a request would be sent on an idle connection instead of a new one."""
-        return self._connector.has_idle(self._key(address), self._idle_limit_s(unrepeatable))
+        key = self._key(address)
+        return key is not None and self._connector.has_idle(key, self._idle_limit_s(unrepeatable))
 
     def _idle_limit_s(self, unrepeatable: bool) -> float:
         settings = self._settings
@@ -262,7 +265,8 @@
 
     def open_connections(self, address: str) -> int:
         """Returns the number of open connections to an instance."""
-        return self._connector.open_connections(self._key(address))
+        key = self._key(address)
+        return 0 if key is None else self._connector.open_connections(key)
 
     async def send(
         self, address: str, request: UpstreamRequest, observer: ExchangeObserver
@@ -272,9 +276,12 @@
         Raises UpstreamError; its `written` says whether a byte may have been written. Cancellation
         closes the connection; the observer then knows whether a byte was written.
         """
+        key = self._key(address)
+        if key is None:
+            raise ConnectFailed(f"{address!r:.60} is not an address like IP:port")
         url = URL(f"http://{address}{request.target}", encoded=True)
         message = _Request(url, request, self._loop, self._session)
-        connection = await self._connect(address, message, request, observer)
+        connection = await self._connect(key, address, message, request, observer)
         protocol = connection.protocol
         if protocol is None or not protocol.is_connected():
             connection.close()
@@ -315,12 +322,12 @@
 
     async def _connect(
         self,
+        key: ConnectionKey,
         address: str,
         message: ClientRequest,
         request: UpstreamRequest,
         observer: ExchangeObserver,
     ) -> Connection:
-        key = self._key(address)
         if not request.fresh:
             limit_s = self._idle_limit_s(request.unrepeatable)
             connection = self._connector.acquire_idle(key, limit_s, request.request_id)
@@ -420,13 +427,19 @@
         """Closes all connections."""
         await self._session.close()
 
-    def _key(self, address: str) -> ConnectionKey:
-        key = self._keys.get(address)
-        if key is None:
-            url = URL(f"http://{address}/")
-            key = ConnectionKey(url.raw_host or "", url.port, False, True, None, None, None)
-            self._keys[address] = key
-        return key
+    def _key(self, address: str) -> ConnectionKey | None:
+        """Returns the key of the connections to an instance, or None if it has no valid address.
+
+        Choices among many instances ask for one after the other, so one address must not fail them.
+        """
+        if address not in self._keys:
+            self._keys[address] = _connection_key(address) if is_endpoint(address) else None
+        return self._keys[address]
+
+
+def _connection_key(address: str) -> ConnectionKey:
+    url = URL(f"http://{address}/")
+    return ConnectionKey(url.raw_host or "", url.port, False, True, None, None, None)
 
 
 _NULL_OBSERVER = NullObserver()
--- a/anviltray/upstreams/tests/test_client.py
+++ b/anviltray/upstreams/tests/test_client.py
@@ -117,6 +117,38 @@
     run(test, handler)
 
 
+@pytest.mark.parametrize("address", ["", "::1:80", "[10.0.0.1]:80", "[::1:80", "a b:80", "\ud800"])
+def test_unusable_address_fails_only_what_is_sent_to_it(address):
+    """Guards against a choice among many instances that fails on the address of one of them."""
+
+    async def test(client, upstream):
+        assert not client.can_reuse(address, unrepeatable=False)
+        assert client.open_connections(address) == 0
+        client.close_idle(address)
+        observer = Observer()
+        with pytest.raises(ConnectFailed):
+            await client.send(address, GET, observer)
+        assert not observer.written
+        assert not await client.probe(address, 1.0)
+
+    run(test, ok())
+
+
+@pytest.mark.parametrize("host", ["127.0.0.1", "::1"])
+def test_both_versions_of_ip_are_served(host):
+    async def test(client, upstream):
+        async with Upstream(ok(), host) as other:
+            address = other.address if host == "127.0.0.1" else "[::1]:" + other.address[4:]
+            for _ in range(2):
+                response, body, _ = await exchange(client, address)
+                assert (response.status, body) == (200, b"fine")
+            assert other.connections == 1
+            assert client.open_connections(address) == 1
+            assert client.can_reuse(address, unrepeatable=False)
+
+    run(test, ok())
+
+
 @pytest.mark.parametrize("stray", [b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", b""])
 def test_a_connection_with_unread_input_is_not_reused(stray):
     """The kernel has received bytes or the end of file, but the event loop has not read them."""
--- a/anviltray/zone/_hosts.py
+++ b/anviltray/zone/_hosts.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from anviltray.messages import HostBeacon, HostLocality
+from anviltray.schema import is_endpoint
 
 BEACON_INTERVAL_S = 0.5
 # A host without a beacon for this long gets no callers. Spans a few beacons, as some may be lost.
@@ -92,7 +93,7 @@
         """
         if beacon.zone != self._own.zone or beacon.host == self._own.address:
             return "stale"
-        if not is_ip_address(beacon.host) or not _is_endpoint(beacon.caller_address):
+        if not is_ip_address(beacon.host) or not is_endpoint(beacon.caller_address):
             return "stale"
         previous = self._seen.get(beacon.host)
         if previous is not None and previous.beacon.incarnation == beacon.incarnation:
@@ -126,8 +127,3 @@
                 self._last_probe_s[address] = now_s
                 result.append(address)
         return tuple(result)
-
-
-def _is_endpoint(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    return is_ip_address(host.strip("[]")) and port.isascii() and port.isdigit()
