Refuse registrations whose key or names fit into no header, message or short log line

What callers saw: 500 for the requests that were placed at an entry of another writer whose key has a line break or a null byte, again and again: nothing was held against the instance.

Cause: the key of a registration becomes the value of the header that names the instance, and the HTTP client raises ValueError for such a value.

Change: keys and names have at most 255 characters, all of them printable. A key has no blanks around it and no sign of bytes that are not UTF-8, which could not be the identifier of the instance.

--- a/anviltray/edge/tests/test_odd_registrations.py
+++ b/anviltray/edge/tests/test_odd_registrations.py
@@ -4,17 +4,17 @@
 """
 
 import asyncio
-import json
 
 import pytest
 
 from anviltray.declarations import Instance
 from anviltray.edge.tests.support import Fleet, registration, respond
+from anviltray.platform.tests import documents
 
-SOUND = json.loads(registration("127.0.0.9:8144"))
+LONG = "x" * 200_000
 LONE_SURROGATE = "\ud800"  # JSON can hold it, and no other encoding can.
 UNUSABLE_ADDRESSES = [
-    "::1:8144",
+    "::1:8144",  # Brackets are missing.
     "[127.0.0.9]:8144",
     "[::1:8144",
     "::1]:8144",
@@ -26,25 +26,27 @@
     "0x7f.1:8144",
     ":8144",
 ]
+UNUSABLE_KEYS = ["a\r\nX-A: 1", "a\nb", "a\0b", " odd ", "\ufffd"]
+UNUSABLE_NAMES = [LONE_SURROGATE, "a\r\nX-A: 1", "a\0b", LONG]
 
 
 def odd(**changes):
-    """Returns a record; a change like `info__zone` replaces a field of an inner object."""
-    document = json.loads(json.dumps(SOUND))
-    for path, value in changes.items():
-        *parents, name = path.split("__")
-        place = document
-        for parent in parents:
-            place = place[parent]
-        place[name] = value
-    return json.dumps(document).encode()
+    """Returns a record whose address nobody listens at, with changed fields."""
+    return documents.registration(**({"address": "127.0.0.9:8144"} | changes))
 
 
 RECORDS = [
     *(pytest.param("odd", odd(address=address), id=address) for address in UNUSABLE_ADDRESSES),
+    *(
+        pytest.param("odd", odd(**{f"info__{name}": value}), id=f"{name}-{number}")
+        for name in ("zone", "version", "service")
+        for number, value in enumerate(UNUSABLE_NAMES)
+    ),
+    *(pytest.param(key, odd(), id=f"key-{number}") for number, key in enumerate(UNUSABLE_KEYS)),
     pytest.param("odd", odd(), id="nobody-listens"),
     pytest.param("odd", odd(info__slots=65535), id="most-slots"),
     pytest.param("odd", odd(born=2**63 - 1), id="latest-start"),
+    pytest.param("odd", odd(status__state=LONG), id="long-state"),
 ]
 
 
@@ -72,7 +74,9 @@
     """One host reads the entry from the store, and the other one gets it from its peer."""
 
     async def test(fleet):
-        fleet.store.append_record("keyed.servers", key, record)
+        # With a key that is no identifier, the entry has an address where an instance listens.
+        listens = odd(address=fleet.instances[0].address)
+        fleet.store.append_record("keyed.servers", key, record if key == "odd" else listens)
         # A later change shows that both hosts have got this far.
         fleet.store.append_record(
             "keyed.servers", "i-9", registration("127.0.0.9:8145", service="supply")
--- a/anviltray/platform/_documents.py
+++ b/anviltray/platform/_documents.py
@@ -17,7 +17,9 @@
 
 # Larger numbers come from writers that are no instances. Integers in messages have 64 bits.
 _MAX_INTEGER = 2**63 - 1
+_MAX_NAME_LENGTH = 255  # The keys of the store have at most as many bytes.
 _MAX_SLOTS = 65535  # An instance has no more connections to one address than there are ports.
+_REPLACEMENT_CHARACTER = "\ufffd"  # Stands for bytes that are not UTF-8.
 _MAX_WARMUP_MS = 24 * 3600 * 1000.0
 
 
@@ -92,14 +94,20 @@
 def decode_instance(key: str, payload: bytes) -> Instance:
     """Returns the instance in a record; raises DocumentInvalid for a missing or invalid field.
 
-    The topic may contain records of other writers, so every field is checked.
+    The topic may contain records of other writers, so every field is checked. The key becomes the
+    value of a header field, and names become a part of log lines and of messages to other hosts.
     """
+    _check_name(key, "the key")
+    if key != key.strip() or _REPLACEMENT_CHARACTER in key:
+        raise DocumentInvalid(f"instance {key!r}: the key is no identifier")
     document = _parse_object(payload)
     try:
         info, status = document["info"], document["status"]
         state = status["state"]
         if state not in ("ready", "draining"):
-            raise DocumentInvalid(f"instance {key}: state must be ready or draining, not {state!r}")
+            raise DocumentInvalid(
+                f"instance {key}: state must be ready or draining, not {state!r:.60}"
+            )
         address = _get_string(document, "address")
         if not is_endpoint(address):
             raise DocumentInvalid(f"instance {key}: {address!r:.60} is not an address like IP:port")
@@ -109,10 +117,10 @@
             started_unix_ms=(
                 _get_integer(document, "born", _MAX_INTEGER) if "born" in document else 0
             ),
-            service=_get_string(info, "service"),
+            service=_get_name(info, "service"),
             address=address,
-            zone=_get_string(info, "zone"),
-            version=_get_string(info, "version"),
+            zone=_get_name(info, "zone"),
+            version=_get_name(info, "version"),
             slots=_get_integer(info, "slots", _MAX_SLOTS, minimum=1),
             draining=state == "draining",
             warmup_s=max(0.0, _get_number(status, "warmupLeftMs", _MAX_WARMUP_MS) / 1000),
@@ -138,6 +146,19 @@
     return value
 
 
+def _get_name(item: Mapping[str, Any], name: str) -> str:
+    """Returns a string that can be encoded and logged."""
+    value = _get_string(item, name)
+    _check_name(value, name)
+    return value
+
+
+def _check_name(value: str, name: str) -> None:
+    # Not printable are control characters, line breaks and parts of a surrogate pair.
+    if len(value) > _MAX_NAME_LENGTH or not value.isprintable():
+        raise DocumentInvalid(f"{name} must be printable and short, not {value!r:.60}")
+
+
 def _get_flag(item: Mapping[str, Any], name: str) -> bool:
     value = item.get(name, False)
     if type(value) is not bool:
--- a/anviltray/platform/tests/test_documents.py
+++ b/anviltray/platform/tests/test_documents.py
@@ -54,6 +54,19 @@
     assert not decoded.idempotent
 
 
+@pytest.mark.parametrize(
+    "key", ["a\r\nX-A: 1", "a\nb", "a\0b", " i-1", "i-1\t", "\ufffd", "\ud800", "x" * 256]
+)
+def test_key_that_fits_into_no_header_is_an_error(key):
+    with pytest.raises(DocumentInvalid):
+        decode_instance(key, registration())
+
+
+@pytest.mark.parametrize("key", ["i-7f3a91c2", "Kiosk 3 (Suva)", "savusavu-é", "x" * 255])
+def test_key_of_an_instance(key):
+    assert decode_instance(key, registration()).id == key
+
+
 @pytest.mark.parametrize("address", ["10.128.0.9:8080", "[2001:db8::5]:8080"])
 def test_address_of_an_instance(address):
     assert decode_instance("i-1", registration(address=address)).address == address
@@ -112,6 +125,11 @@
         registration(address="[::1:8144"),
         registration(address="[10.0.0.1]:8144"),
         registration(address="[fe80::1%eth0]:8144"),
+        *(
+            registration(**{f"info__{name}": value})
+            for name in ("service", "zone", "version")
+            for value in ("a\nb", "a\0b", "\ud800", "x" * 256)
+        ),
         b'{"info":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
         b"[" * 100_000,
     ],
