Keep the key of one record that is not UTF-8 from failing messages about all of them

What would be seen: a page of newest records in which JSON names a key by half of a surrogate pair, as JSON libraries do for bytes that are not UTF-8.

Seen in the test only: whether the store of the platform writes such keys is not known.

Change: keys of pages and of the log are decoded in one way, with the replacement character for what is not UTF-8.

Result: test_key_that_is_not_utf8_can_be_sent_to_other_hosts failed before with UnicodeEncodeError and passes, with the other tests of the store.

--- a/anviltray/platform/_store.py
+++ b/anviltray/platform/_store.py
@@ -179,7 +179,14 @@
 
 
 def _decode_item(item: Any) -> KeyedRecord:
-    return KeyedRecord(str(item["key"]), base64.b64decode(item["value"], validate=True))
+    # JSON may hold halves of surrogate pairs, which no message to another host can.
+    key = _decode_key(str(item["key"]).encode("utf-8", "surrogatepass"))
+    return KeyedRecord(key, base64.b64decode(item["value"], validate=True))
+
+
+def _decode_key(data: bytes) -> str:
+    # A key that is not UTF-8 comes from another writer and matches no expected key.
+    return data.decode("utf-8", "replace")
 
 
 def _decode_records(body: bytes, offset: int) -> Iterator[KeyedRecord]:
@@ -193,5 +200,4 @@
         position += length
         offset += 1
         end = 1 + record[0]
-        # A key that is not UTF-8 comes from another writer and matches no expected key.
-        yield KeyedRecord(record[1:end].decode("utf-8", "replace"), record[end:] or None)
+        yield KeyedRecord(_decode_key(record[1:end]), record[end:] or None)
--- a/anviltray/platform/tests/test_store.py
+++ b/anviltray/platform/tests/test_store.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import time
 
 import pytest
 from aiohttp import web
 
+from anviltray.messages import InstanceChanges, KeyedChange, decode_message, encode_message
 from anviltray.platform import (
     BODY_LIMIT_BYTES,
     AppendConflict,
@@ -272,26 +274,51 @@
     return web.Response(text=text)
 
 
+@contextlib.asynccontextmanager
+async def served_by(respond, timeout_s):
+    """Provides the client of a store whose responses to all calls come from `respond`."""
+    runner = web.ServerRunner(web.Server(respond), shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    store = KeyedStore(f"127.0.0.1:{port}", timeout_s)
+    try:
+        yield store
+    finally:
+        await store.close()
+        await runner.cleanup()
+
+
 @pytest.mark.parametrize("respond", [body_without_end, pages_without_end])
 def test_newest_records_without_end_are_not_kept(respond):
     sent = []
 
     async def main():
-        server = web.Server(lambda request: respond(request, sent))
-        runner = web.ServerRunner(server, shutdown_timeout=0.1)
-        await runner.setup()
-        site = web.TCPSite(runner, "127.0.0.1", 0)
-        await site.start()
-        port = site._server.sockets[0].getsockname()[1]
-        store = KeyedStore(f"127.0.0.1:{port}", 30.0)
         started_s = time.monotonic()
-        try:
+        async with served_by(lambda request: respond(request, sent), 30.0) as store:
             with pytest.raises(PlatformUnavailable):
                 await store.read_newest("keyed.t")
-        finally:
-            await store.close()
-            await runner.cleanup()
         assert time.monotonic() - started_s < 30.0
 
     asyncio.run(main())
     assert sum(sent) < BODY_LIMIT_BYTES + BUFFERED_BYTES
+
+
+def test_key_that_is_not_utf8_can_be_sent_to_other_hosts():
+    """Guards against one entry of another writer whose key fails the messages about all entries."""
+    keys = ["a", "\udcff", "\ud83d"]  # The last two are halves of surrogate pairs.
+
+    async def respond(request):
+        items = [{"key": key, "value": base64.b64encode(b"v").decode()} for key in keys]
+        return web.Response(text=json.dumps({"items": items, "more": False, "end": 3}))
+
+    async def main():
+        async with served_by(respond, TIMEOUT_S) as store:
+            newest = await store.read_newest("keyed.t")
+        changes = tuple(KeyedChange(record.key, record.payload) for record in newest.records)
+        message = InstanceChanges(0, 3, 0.0, changes, 0)
+        assert decode_message(encode_message(message)) == message
+        assert (changes[0].key, len(changes)) == ("a", 3)
+
+    asyncio.run(main())
