--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -44,7 +44,7 @@
 _HEDGE_RETRY_INTERVAL_S = 0.2
 # Part of a request's time in which it waits for its allotted rate while the host starts.
 _ALLOTMENT_WAIT_SHARE = 1 / 4
-# Limit for the last responses of a host that ends; no step of them waits for anything.
+# Limit for a host that ends to write its last responses, which wait for nothing else.
 _INTERRUPTION_TIMEOUT_S = 0.2
 _DEFAULT_RETRY_AFTER_S = 0.4  # Retry-After if placement gives no estimate.
 _MIN_RETRY_AFTER_S = 0.1  # Retry-After if another host can serve the request at once.
@@ -151,8 +151,8 @@
             return
         body = RequestBody(exchange, head.content_length, self._body_limit)
         call = EdgeCall(exchange, head, body, admitted, state.clock, received_s)
-        exchange.on_disconnect = call.on_disconnect
         self._calls.add(call)
+        exchange.on_disconnect = call.on_disconnect
         timer = self._loop.call_later(call.remaining_s(), call.expire)
         status = 0
         try:
--- a/anviltray/schema/__init__.py
+++ b/anviltray/schema/__init__.py
@@ -7,17 +7,10 @@
 from pathlib import Path
 from typing import Any
 
-from anviltray.schema._endpoints import Endpoint, is_endpoint, parse_endpoint
+from anviltray.schema._endpoints import is_endpoint
 from anviltray.schema._errors import DocumentError
 
-__all__ = [
-    "DocumentError",
-    "Endpoint",
-    "is_endpoint",
-    "load_document",
-    "parse_endpoint",
-    "validate_document",
-]
+__all__ = ["DocumentError", "is_endpoint", "load_document", "validate_document"]
 
 
 def load_document(path: Path, schema_name: str) -> dict[str, Any]:
