--- a/anviltray/edge/tests/test_stop_during_response.py
+++ b/anviltray/edge/tests/test_stop_during_response.py
@@ -5,39 +5,30 @@
 import pytest
 
 from anviltray.callers.tests.support import encode, read_response
-from anviltray.edge.tests.support import SEAL, Fleet, configuration, route
+from anviltray.edge.tests.support import Fleet, configuration, route
 from anviltray.edge.tests.test_daemon import start
+from anviltray.edge.tests.truncation import (
+    BLOCK,
+    DEADLINE_MS,
+    FRAMINGS,
+    PART,
+    STREAMED_BLOCKS,
+    connect,
+    is_complete,
+    receive_all,
+    send_part,
+)
 from anviltray.platform import load_host_settings
 
-TIMEOUT_MS = 9000  # Later than the end of the grace period of the settings of the fleet.
-PART = b"0123456789" * 20
-BLOCK = b"x" * 65536
-STREAMED_BLOCKS = 6  # More than a host holds back until a response is whole.
-HEAD = f"HTTP/1.1 200 OK\r\n{SEAL}Request-Id: c1\r\n"
-FRAMINGS = ["Connection: close", "Content-Length: 4000000", "Transfer-Encoding: chunked"]
-
-
-def send_part(framing, parts, pause_s=0.0):
-    """Returns the handler of an instance that sends parts of a response and then nothing more."""
-
-    async def answer(request, writer):
-        writer.write(f"{HEAD}{framing}\r\n\r\n".encode())
-        for part in parts:
-            chunked = framing.endswith("chunked")
-            writer.write(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
-            await writer.drain()
-            await asyncio.sleep(pause_s)
-        await asyncio.Event().wait()
-
-    return answer
-
 
 def run(tmp_path, test, handler):
+    """The deadline of the callers is later than the end of the grace period."""
+
     async def main():
         async with Fleet(tmp_path, [handler]) as fleet:
             routes = [
-                route("level", "safe", timeout_ms=TIMEOUT_MS),
-                route("order", "unsafe", timeout_ms=TIMEOUT_MS),
+                route("level", "safe", timeout_ms=DEADLINE_MS),
+                route("order", "unsafe", timeout_ms=DEADLINE_MS),
             ]
             fleet.store.append_record("keyed.op", "config", configuration(2, routes))
             host = fleet.hosts[0]
@@ -47,36 +38,6 @@
     asyncio.run(main())
 
 
-async def connect(settings, head, version="1.1"):
-    """Sends one request, and returns the connection."""
-    address, port = settings.caller_address.split(":")
-    reader, writer = await asyncio.open_connection(address, int(port))
-    request = encode(head, Request_Id="c1", Deadline_Ms=str(TIMEOUT_MS))
-    writer.write(request.replace(b"HTTP/1.1", f"HTTP/{version}".encode()))
-    return reader, writer
-
-
-def is_complete(received, was_reset):
-    """Returns whether a caller takes what it has received for a whole response."""
-    head, _, body = received.partition(b"\r\n\r\n")
-    fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
-    if b"content-length" in fields:
-        return len(body) == int(fields[b"content-length"])
-    if b"transfer-encoding" in fields:
-        return body.endswith(b"0\r\n\r\n")
-    return bool(head) and not was_reset
-
-
-async def receive_all(reader):
-    received, was_reset = bytearray(), False
-    try:
-        while data := await reader.read(1 << 20):
-            received += data
-    except ConnectionError:
-        was_reset = True
-    return bytes(received), was_reset
-
-
 @pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("head", ["GET /level/1", "POST /order/1"])
 def test_response_that_is_held_back_at_the_end_of_a_host_is_a_bad_gateway(tmp_path, head, framing):
@@ -145,7 +106,7 @@
     async def test(fleet, host):
         address, port = host.settings.caller_address.split(":")
         reader, writer = await asyncio.open_connection(address, int(port))
-        request = encode("POST /order/1", PART, Request_Id="c1", Deadline_Ms=str(TIMEOUT_MS))
+        request = encode("POST /order/1", PART, Request_Id="c1", Deadline_Ms=str(DEADLINE_MS))
         writer.write(request[:-1])
         await asyncio.sleep(0.1)
         await host.stop()
