--- a/anviltray/callers/tests/test_responses.py
+++ b/anviltray/callers/tests/test_responses.py
@@ -89,6 +89,34 @@
     run(answer, test)
 
 
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_streamed_response_does_not_look_complete_when_its_task_is_cancelled(version):
+    """The event loop cancels all tasks when a node is ended by a second signal."""
+
+    async def answer(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\naaaaa\r\n")
+        await asyncio.Event().wait()
+
+    async def test(node, upstream):
+        reader, writer = await connect(node)
+        writer.write(encode("POST /crews").replace(b"HTTP/1.1", f"HTTP/{version}".encode()))
+        assert b" 200 " in await reader.readuntil(b"aaaaa")
+        (task,) = (
+            task for task in asyncio.all_tasks() if "run_asgi" in task.get_coro().__qualname__
+        )
+        task.cancel()
+        try:
+            rest = await asyncio.wait_for(reader.read(-1), 5)
+        except ConnectionError:
+            return  # A reset shows the truncation in any HTTP version.
+        finally:
+            writer.close()
+        assert version == "1.1"
+        assert b"0\r\n\r\n" not in rest
+
+    run(answer, test)
+
+
 @pytest.mark.parametrize("version", ["1.1", "1.0"])
 def test_streamed_response_reaches_a_slow_caller_whole(version):
     """The connection of a caller of HTTP/1.0 is reset if it ends before the response does."""
