Keep a record that ends within its key from hiding others or removing an instance

What would be seen: a record of another writer in the topic of registrations that is empty, or whose length of the key is beyond its end. An empty one made each read of the log fail from there on, as if the store was lost. The rest of any other was taken for a whole key without a value, which removes the instance of that name. Seen in a test; whether the store of the platform accepts such records is not known.

Change: such a record has an offset and no effect. A registration with an empty key is refused.

--- a/anviltray/platform/_documents.py
+++ b/anviltray/platform/_documents.py
@@ -98,7 +98,7 @@
     value of a header field, and names become a part of log lines and of messages to other hosts.
     """
     _check_name(key, "the key")
-    if key != key.strip() or _REPLACEMENT_CHARACTER in key:
+    if not key or key != key.strip() or _REPLACEMENT_CHARACTER in key:
         raise DocumentInvalid(f"instance {key!r}: the key is no identifier")
     document = _parse_object(payload)
     try:
--- a/anviltray/platform/_store.py
+++ b/anviltray/platform/_store.py
@@ -25,6 +25,8 @@
 _READ_MARGIN_S = 1.0
 _READ_HEADER = struct.Struct(">QQ")  # End offset and first retained offset of the partition.
 _RECORD_LENGTH = struct.Struct(">I")
+# Stands for a record of another writer that ends within its key: it has an offset and no effect.
+_WITHOUT_KEY = KeyedRecord("", None)
 
 
 class KeyedStore:
@@ -195,9 +197,15 @@
         (length,) = _RECORD_LENGTH.unpack_from(body, position)
         position += _RECORD_LENGTH.size
         record = body[position : position + length]
-        if len(record) < length or not record:
+        if len(record) < length:
             raise ValueError(f"the record at offset {offset} is truncated")
         position += length
         offset += 1
-        end = 1 + record[0]
-        yield KeyedRecord(_decode_key(record[1:end]), record[end:] or None)
+        yield _decode_record(record)
+
+
+def _decode_record(record: bytes) -> KeyedRecord:
+    end = 1 + record[0] if record else 1
+    if end > len(record):
+        return _WITHOUT_KEY
+    return KeyedRecord(_decode_key(record[1:end]), record[end:] or None)
--- a/anviltray/platform/tests/test_documents.py
+++ b/anviltray/platform/tests/test_documents.py
@@ -55,7 +55,7 @@
 
 
 @pytest.mark.parametrize(
-    "key", ["a\r\nX-A: 1", "a\nb", "a\0b", " i-1", "i-1\t", "\ufffd", "\ud800", "x" * 256]
+    "key", ["", "a\r\nX-A: 1", "a\nb", "a\0b", " i-1", "i-1\t", "\ufffd", "\ud800", "x" * 256]
 )
 def test_key_that_fits_into_no_header_is_an_error(key):
     with pytest.raises(DocumentInvalid):
--- a/anviltray/platform/tests/test_store.py
+++ b/anviltray/platform/tests/test_store.py
@@ -4,6 +4,7 @@
 import base64
 import contextlib
 import json
+import struct
 import time
 
 import pytest
@@ -19,7 +20,7 @@
     OffsetTrimmed,
     PlatformUnavailable,
 )
-from standins.store import StoreConditions, StoreStandin
+from standins.store import StoreConditions, StoreStandin, encode_record
 
 TIMEOUT_S = 0.3
 
@@ -305,6 +306,29 @@
     assert sum(sent) < BODY_LIMIT_BYTES + BUFFERED_BYTES
 
 
+@pytest.mark.parametrize("content", [b"", b"\xff", b"\xffi-1", b"\x04i-1"])
+def test_record_without_a_whole_key_costs_no_other_record(content):
+    """Guards against an entry of another writer that hides later ones, or removes a sound one."""
+    odd = struct.pack(">I", len(content)) + content
+    records = (encode_record("i-1", b"v"), odd, encode_record("i-2", b"w"))
+    body = struct.pack(">QQ", len(records), 0) + b"".join(records)
+
+    async def respond(request):
+        return web.Response(body=body)
+
+    async def main():
+        async with served_by(respond, TIMEOUT_S) as store:
+            batch = await store.read("keyed.t", 0, 0.0)
+        assert [tuple(record) for record in batch.records] == [
+            ("i-1", b"v"),
+            ("", None),
+            ("i-2", b"w"),
+        ]
+        assert batch.next_offset == len(records)
+
+    asyncio.run(main())
+
+
 def test_key_that_is_not_utf8_can_be_sent_to_other_hosts():
     """Guards against one entry of another writer whose key fails the messages about all entries."""
     keys = ["a", "\udcff", "\ud83d"]  # The last two are halves of surrogate pairs.
