--- /dev/null
+++ b/review/stand3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the third review."""
