--- a/review/stand3/kit.py
+++ b/review/stand3/kit.py
@@ -127,13 +127,17 @@
 
 
 async def read_head(reader: asyncio.StreamReader) -> Head:
-    """Returns the next head; raises IncompleteReadError at the end of the connection."""
+    """Returns the next head; raises IncompleteReadError at the end of the connection.
+
+    Fields of the same name are combined, as in RFC 9110, 5.3.
+    """
     lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-    fields = {}
+    fields: dict[str, str] = {}
     for line in lines[1:]:
         if line:
             name, _, value = line.partition(":")
-            fields[name.strip().lower()] = value.strip()
+            name, value = name.strip().lower(), value.strip()
+            fields[name] = f"{fields[name]}, {value}" if name in fields else value
     return Head(lines[0], fields)
 
 
@@ -227,6 +231,9 @@
     ) -> bool:
         record, request_id = self.kit.record, head.fields.get("request-id", "")
         if head.fields.get("expect-instance", self.key) != self.key:
+            await read_body(reader, head.fields)
+            expected = head.fields["expect-instance"]
+            record.write(f"{self.key} answers 421 to {request_id}: it expects {expected!r}")
             writer.write(
                 b"HTTP/1.1 421 Misdirected\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
                 b"Request-Id: " + request_id.encode() + b"\r\n\r\n"
