--- a/review/stand3/kit.py
+++ b/review/stand3/kit.py
@@ -178,9 +178,10 @@
         service: str,
         work_s: Callable[[Head], float] = lambda head: 0.02,
         answer: Callable[["Instance", Head, asyncio.StreamWriter], Awaitable[bool]] | None = None,
+        slots: int = 50,
     ) -> None:
         self.kit, self.key, self.service = kit, key, service
-        self.work_s, self.answer = work_s, answer
+        self.work_s, self.answer, self.slots = work_s, answer, slots
         self.born = int(time.time() * 1000)
         self.address = ""
         self.runs: list[Run] = []
@@ -205,7 +206,12 @@
     def entry(self) -> bytes:
         """Returns what it writes to the store."""
         self._sequence += 1
-        info = {"service": self.service, "version": "v1", "zone": "viti-suva", "slots": 50}
+        info = {
+            "service": self.service,
+            "version": "v1",
+            "zone": "viti-suva",
+            "slots": self.slots,
+        }
         status = {"state": "ready", "sequence": self._sequence, "warmupLeftMs": 0}
         document = {"address": self.address, "born": self.born, "info": info, "status": status}
         return json.dumps(document).encode()
