--- a/review/stand3/kit.py
+++ b/review/stand3/kit.py
@@ -196,6 +196,12 @@
         self.address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
         self._beating = asyncio.create_task(self._beat())
 
+    def leave(self) -> None:
+        """Has its entry removed, and goes on serving."""
+        if self._beating is not None:
+            self._beating.cancel()
+        self.kit.store.append_record("keyed.servers", self.key, b"")
+
     async def stop(self) -> None:
         """Ends without a word."""
         if self._beating is not None:
@@ -227,8 +233,8 @@
                 head = await read_head(reader)
                 if not await self._handle(head, reader, writer):
                     return
-        except (asyncio.IncompleteReadError, OSError):
-            return
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
+            return  # Cancelled at the end of the case.
         finally:
             writer.close()
 
