--- a/review/stand3/kit.py
+++ b/review/stand3/kit.py
@@ -1,8 +1,8 @@
 """A small deployment for one case: the program's processes, a store, instances and clients.
 
 The hosts are processes of the program, started with the command of the deploy file. The store is
-the project's own stand-in, in a process of its own run by this module's owner. Instances and
-clients are raw sockets, so that a case can send and answer exactly the bytes that it needs.
+the project's own stand-in, in the process of the script. Instances and clients are raw sockets, so
+that a case can send and answer exactly the bytes that it needs.
 """
 
 import asyncio
@@ -522,10 +522,14 @@
 
     async def main() -> int:
         kit = Kit(folder, **options)
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(110.0):
                 result = await case(kit)
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
             kit.record.write(f"could not run: {error!r}")
             result = NOT_RUN
         finally:
