--- a/review/11/case.py
+++ b/review/11/case.py
@@ -97,6 +97,9 @@
         if instance not in [each for each, _ in left]:
             instance.leave()
     await asyncio.sleep(2.0)
+    for instance, _ in left:
+        kit.record.write(f"{instance.key} ends")
+        await instance.stop()
     return left
 
 
--- a/review/stand3/kit.py
+++ b/review/stand3/kit.py
@@ -188,6 +188,7 @@
         self.ended: dict[str, tuple[float, str]] = {}  # By request: when and how its work ended.
         self._sequence = 0
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
         self._beating: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -208,6 +209,8 @@
             self._beating.cancel()
         if self._server is not None:
             self._server.close()
+        for writer in self._writers:
+            writer.close()
 
     def entry(self) -> bytes:
         """Returns what it writes to the store."""
@@ -228,6 +231,7 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 head = await read_head(reader)
@@ -236,6 +240,7 @@
         except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
             return  # Cancelled at the end of the case.
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _handle(
