--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,6 +1,6 @@
-"""Clients send a second safe request ahead and leave before the first one is answered.
+"""Clients send a second safe request ahead, and a share of them leaves before the first answer.
 
-Without the disruption the same clients stay until both are answered.
+Without the disruption all of them stay until both are answered.
 """
 
 import asyncio
@@ -23,9 +23,11 @@
     run_case,
 )
 
-CLIENTS = 16
-WORK_S = 1.5
-LEAVES_AFTER_S = 0.3
+CLIENTS = 60
+LEAVING = 18  # A share of 0.3, the largest that the site plays.
+WORK_S = 1.4  # The site states 1.8 s at most.
+TARGET_MS, TIMEOUT_MS, DEADLINE_MS = 800, 2000, 4000  # Those of the site's `pickup-lookup`.
+LEAVES_AFTER_S = 0.4  # Half of the target.
 ALLOWED_S = 0.5  # After the close.
 ALLOWED_ARRIVALS = 3  # "more than a few".
 ALLOWED_SHARE = 0.25  # Of the requests that would have lasted so long.
@@ -36,9 +38,10 @@
     host = kit.hosts[number % len(kit.hosts)]
     ids = [new_id(), new_id()]
     reader, writer = await asyncio.open_connection(host.ip, FRONT)
-    writer.write(b"".join(request("GET", f"/look/{each}", each, 6000) for each in ids))
+    writer.write(b"".join(request("GET", f"/look/{each}", each, DEADLINE_MS) for each in ids))
     kit.record.write(f"client {number} sends {ids[0]} and {ids[1]} to host {host.number}")
-    if kit.trouble:
+    leaves = kit.trouble and number < LEAVING
+    if leaves:
         await asyncio.sleep(LEAVES_AFTER_S)
     else:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -57,11 +60,11 @@
     kit.instances = [
         Instance(kit, f"i-{number}", "desk", lambda head: WORK_S) for number in range(6)
     ]
-    await kit.start(2, [route("look", "safe", 5000, 3000)])
+    await kit.start(2, [route("look", "safe", TIMEOUT_MS, TARGET_MS)])
     await asyncio.sleep(4.0)
     if any(
         [
-            (await ask(kit, each.front, "GET", "/look/1", 6000))[1].status != 200
+            (await ask(kit, each.front, "GET", "/look/1", DEADLINE_MS))[1].status != 200
             for each in kit.hosts
         ]
     ):
@@ -69,7 +72,7 @@
     clients = await asyncio.gather(*(be_client(kit, number) for number in range(CLIENTS)))
     await asyncio.sleep(2 * WORK_S + 1.0)
     late = at_work = lasting = 0
-    for ids, closed_s in clients:
+    for ids, closed_s in clients[:LEAVING]:
         for request_id in ids:
             for instance in kit.instances:
                 for run in instance.runs:
--- a/review/stand3/kit.py
+++ b/review/stand3/kit.py
@@ -534,7 +534,8 @@
         try:
             async with asyncio.timeout(110.0):
                 result = await case(kit)
-        except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # Only a broken rule is a 1, whatever else goes wrong.
             kit.record.write(f"could not run: {error!r}")
             result = NOT_RUN
         finally:
