Pass on in a stop only what ends in time, by the seconds since the SIGTERM

Cause: the moments of a stop were shares of the grace period, so a host with 10 s accepted requests for 5 s, whatever time they might take. The time limit of a request, which bounds what an instance may need, was not looked at.

Change: decisions/stopping has one rule. Until 2.75 s, or half of a short grace period, complete requests are passed on; later ones, and incomplete bodies, only if their own time limit ends them before the host does. The rest gets 503 at once, also what still waits for an instance at that moment, and uploads under way are broken off before they are whole.

The two tests that set shutting_down set the stop from which it now follows.

--- a/anviltray/edge/_dispatcher.py
+++ b/anviltray/edge/_dispatcher.py
@@ -109,6 +109,26 @@
         """Drops what is kept for services that no longer exist."""
         self._waits.keep_only(services)
 
+    def reject_late_requests(self) -> None:
+        """Ends the requests that a stopping host no longer passes on, or not as a whole.
+
+        Those that no instance has got are rejected. A body that is still arriving at an instance
+        is broken off, as its end would come too late.
+        """
+        late = tuple(
+            call
+            for call in self._calls
+            if not (call.exchange.response_started or self._passes_on(call))
+            and (call.exchange.more_body or not call.attempted)
+        )
+        for call in late:
+            call.interrupt()
+        if late:
+            _log.info("late requests rejected", extra={"requests": len(late)})
+
+    def _passes_on(self, call: EdgeCall) -> bool:
+        return self._state.passes_on(call.expires_s, not call.exchange.more_body)
+
     async def interrupt_requests(self) -> int:
         """Ends all requests in flight because the host ends; returns their number.
 
@@ -241,7 +261,7 @@
         """
         if not call.body.ended:
             await call.body.buffer_if_short()
-        if not self._state.accepts_requests:
+        if not self._passes_on(call):
             return self._end_with_problem(call, _STOPPING)
         patience_s = call.remaining_s() * _ALLOTMENT_WAIT_SHARE
         allotted = await self._allotments.acquire(call.account, patience_s)
@@ -365,7 +385,8 @@
     async def _acquire_retry(self, call: EdgeCall, attempts: int) -> bool:
         if attempts >= call.route.instance_limit or not call.body.can_resend:
             return False
-        if call.remaining_s() < self._state.health_tracker.mean_latency_s(call.service):
+        expected_s = self._state.health_tracker.mean_latency_s(call.service)
+        if call.remaining_s() < expected_s or not self._state.can_repeat(expected_s):
             return False
         budget, clock = self._state.retry_budget(call.service), self._state.clock
         if budget.try_acquire(clock.now_s()):
--- a/anviltray/edge/_edge.py
+++ b/anviltray/edge/_edge.py
@@ -20,6 +20,7 @@
     serve_internal,
 )
 from anviltray.decisions.limits import CallerMemory, divide_descriptors
+from anviltray.decisions.stopping import GracefulStop
 from anviltray.declarations import ClientAccount, RoutingConfiguration
 from anviltray.edge._activation import ConfigurationActivation
 from anviltray.edge._allotments import Allotments
@@ -79,13 +80,6 @@
 _UNREPEATABLE_IDLE_LIMIT_S = 5.0
 # Added to the configured idle timeout, for callers that reuse a connection just before it expires.
 _IDLE_MARGIN_S = 1.0
-# Fraction of the grace period in which a stopping host still accepts callers that have a cached
-# address list. The rest, less the margin, is for requests in flight.
-_DRAIN_SHARE = 0.4
-_STOP_MARGIN_S = 0.4
-# Fraction of the grace period after that in which requests whose head or body is still arriving are
-# passed on. Later ones are rejected: they may not be complete when the host ends.
-_LATE_SHARE = 0.1
 METRICS_PORT = 9464
 
 
@@ -227,30 +221,30 @@
         """Stops gracefully, within the grace period of the settings.
 
         The host becomes not ready and leaves the directory. It serves callers that have cached its
-        address, then closes its listener and completes the requests in flight. Requests that are
-        complete only in the second half of the grace period are rejected, and those that are still
-        in flight at its end are interrupted.
+        address, then closes its listener and completes the requests in flight. Requests that come
+        too late to end in time are rejected (see `GracefulStop`), and those that are still in
+        flight at the end are interrupted.
         """
-        loop = asyncio.get_running_loop()
+        loop, state = asyncio.get_running_loop(), self.state
         grace_s = self.settings.guarantees.grace_s
-        end_s = loop.time() + grace_s - _STOP_MARGIN_S
-        self.state.shutting_down = True
+        state.stopping = stop = GracefulStop(state.clock.now_s(), grace_s)
+        started_s = loop.time()
         self.exchange.send_beacon()
         _log.info("stopping", extra={"node": self.settings.node, "grace_s": grace_s})
-        await asyncio.sleep(grace_s * _DRAIN_SHARE)
+        rejecting = loop.call_at(
+            started_s + stop.all_until_s - stop.started_s, self._dispatcher.reject_late_requests
+        )
+        await asyncio.sleep(stop.closes_listener_s - stop.started_s)
         self._stop_callers.set()
-        refusing = loop.call_later(grace_s * _LATE_SHARE, self._reject_late_requests)
-        await asyncio.wait(self._serving[:1], timeout=max(0.0, end_s - loop.time()))
-        refusing.cancel()
+        interrupts_s = started_s + stop.interrupts_s - stop.started_s
+        await asyncio.wait(self._serving[:1], timeout=max(0.0, interrupts_s - loop.time()))
+        rejecting.cancel()
         await self.close()
         _log.info("stopped", extra={"node": self.settings.node})
 
-    def _reject_late_requests(self) -> None:
-        self.state.accepts_requests = False
-
     async def close(self) -> None:
         """Ends the requests in flight, cancels all tasks and closes all sockets."""
-        self.state.accepts_requests = False
+        self.state.closed = True
         # Before the connections to instances are closed: these requests must not be retried.
         interrupted = await self._dispatcher.interrupt_requests()
         if interrupted:
--- a/anviltray/edge/_state.py
+++ b/anviltray/edge/_state.py
@@ -15,6 +15,7 @@
     limit_share,
 )
 from anviltray.decisions.retries import ResponseTimes, RetryBudget
+from anviltray.decisions.stopping import GracefulStop
 from anviltray.declarations import PrefixIndex, PrefixRoute, RoutingConfiguration
 from anviltray.edge._clock import ElapsedClock
 from anviltray.settings import HostSettings
@@ -61,8 +62,8 @@
         # The last index of accounts, also when the configuration in force has none.
         self.account_index = AccountIndex(secrets.token_bytes(_KEY_SECRET_BYTES))
         self.loaded = asyncio.Event()  # The configuration and the instances are known.
-        self.shutting_down = False
-        self.accepts_requests = True  # False late in the grace period of a shutdown.
+        self.stopping: GracefulStop | None = None  # None unless the host stops.
+        self.closed = False  # Whether the host ends the requests that are still in flight.
         self.clock = ElapsedClock()
         self.urgent = asyncio.Event()  # Failure evidence must be sent to the zone at once.
         self._routes = PrefixIndex()
@@ -75,6 +76,24 @@
         self._service_choices: dict[str, WeightedChoice] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
+    @property
+    def shutting_down(self) -> bool:
+        """Whether the host stops."""
+        return self.stopping is not None
+
+    def passes_on(self, expires_s: float, complete: bool) -> bool:
+        """Returns whether a request may be sent to an instance for the first time.
+
+        See `GracefulStop.passes_on`; a host that does not stop passes on all requests.
+        """
+        if self.closed or self.stopping is None:
+            return not self.closed
+        return self.stopping.passes_on(self.clock.now_s(), expires_s, complete)
+
+    def can_repeat(self, expected_s: float) -> bool:
+        """Returns whether the host runs long enough for another attempt of this duration."""
+        return self.stopping is None or self.stopping.can_repeat(self.clock.now_s(), expected_s)
+
     def configure(
         self, configuration: RoutingConfiguration, accounts: AccountIndex | None = None
     ) -> None:
--- a/anviltray/edge/tests/test_operations.py
+++ b/anviltray/edge/tests/test_operations.py
@@ -8,6 +8,7 @@
 import logbook
 import pytest
 
+from anviltray.decisions.stopping import GracefulStop
 from anviltray.edge.tests.support import (
     SEAL,
     Fleet,
@@ -177,9 +178,9 @@
             return await fleet.page("/v1/resolve?name=x", 0, "directory_address")
 
         state = fleet.hosts[0].state
-        state.shutting_down = True
+        state.stopping = GracefulStop(state.clock.now_s(), 3.0)
         assert [(await look_up()).status for _ in range(3)] == [503] * 3
-        state.shutting_down = False
+        state.stopping = None
         assert (await look_up()).status == 200
         metrics = (await fleet.page("/metrics")).body
         assert b'anviltray_events_total{event="lookups"} 4.0' in metrics
--- a/anviltray/edge/tests/test_serving.py
+++ b/anviltray/edge/tests/test_serving.py
@@ -4,6 +4,7 @@
 import json
 
 from anviltray.decisions.entry import MIN_SERVING_HOSTS, RESERVE_HOSTS
+from anviltray.decisions.stopping import GracefulStop
 from anviltray.edge.tests.support import Fleet, respond
 
 HOSTS = MIN_SERVING_HOSTS + 2
@@ -34,7 +35,7 @@
             )
             assert (await fleet.call("GET /level/1", host=other)).status == 200
             stopping = next(host for host in fleet.hosts if host.settings.caller_address in before)
-            stopping.state.shutting_down = True
+            stopping.state.stopping = GracefulStop(stopping.state.clock.now_s(), 3.0)
             stopping.exchange.send_beacon()
             await fleet.until(
                 lambda: len({frozenset(host.entry_addresses()) for host in fleet.hosts}) == 1
