Send every change between any two places of a read to the zone

Cause: a read from an old offset is sent to all hosts that stand within it, and each takes its end as its position. What was no change for the sender was left out: an instance that had come and gone meanwhile, or an entry that had lapsed and returned as it was. The others skipped that removal for good, and as positions were then equal, beacons vouched for it.

Change: a key is left out only if none of its records in the read differs from the one before it, so that a host gets the same result from any place within. Renewals are still left out.

--- a/anviltray/zone/_replica.py
+++ b/anviltray/zone/_replica.py
@@ -13,6 +13,7 @@
 from anviltray.messages import InstanceDeparture, KeyedChange, StoreSnapshot
 from anviltray.platform import (
     DocumentInvalid,
+    KeyedRecord,
     PlatformError,
     decode_configuration,
     decode_instance,
@@ -204,15 +205,25 @@
             return {}
         return {"announced_s": round(self._loop.time() - self.announced_at_s, 2)}
 
-    def find_changes(self, records: Mapping[str, bytes]) -> list[KeyedChange]:
-        """Returns the records that change a registration; empty payloads remove one."""
-        return [
-            KeyedChange(key, payload)
-            for key, payload in records.items()
-            if _is_changed(self._registrations.get(key, b""), key, payload)
+    def find_changes(self, records: Iterable[KeyedRecord]) -> list[KeyedChange]:
+        """Returns the newest record of each key that changes a registration, from this position on.
+
+        Empty payloads remove one. A key also counts if it ends as it began, as that of an instance
+        that came and left: other hosts may stand anywhere within `records`, so they get every key
+        that may differ between any two places there.
+        """
+        newest: dict[str, bytes] = {}
+        changed: set[str] = set()
+        for record in records:
+            key, payload = record.key, record.payload or b""
+            previous = newest.get(key, self._registrations.get(key, b""))
             # The renewal of a copied record shows that the instance lives.
-            or self._directory.is_held_back(key)
-        ]
+            if key not in changed and (
+                self._directory.is_held_back(key) or _is_changed(previous, key, payload)
+            ):
+                changed.add(key)
+            newest[key] = payload
+        return [KeyedChange(key, payload) for key, payload in newest.items() if key in changed]
 
     def replace_all(self, records: Mapping[str, bytes], position: StorePosition) -> None:
         """Replaces the registrations by the complete list of the store at `position`.
--- a/anviltray/zone/_store_reader.py
+++ b/anviltray/zone/_store_reader.py
@@ -95,10 +95,7 @@
             return
         if verdict is Verdict.OVERTAKEN:
             return  # The result of this read may not be in the replica, so the read does not count.
-        # Only the newest record of each key matters; instances renew theirs continuously.
-        changes = replica.find_changes(
-            {record.key: record.payload or b"" for record in batch.records}
-        )
+        changes = replica.find_changes(batch.records)
         if batch.next_offset > requested.offset:
             replica.apply_changes(changes, requested._replace(offset=batch.next_offset))
             self._broadcast_changes(requested, batch.next_offset, changes)
--- /dev/null
+++ b/anviltray/zone/tests/test_complete_changes.py
@@ -0,0 +1,115 @@
+"""Guards against hosts that have the same position in the store but other registrations."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from anviltray.decisions.following import StorePosition
+from anviltray.decisions.instances import InstanceDirectory
+from anviltray.messages import KeyedChange
+from anviltray.platform import KeyedRecord
+from anviltray.platform.tests.documents import registration
+from anviltray.testing import run_with_virtual_clock
+from anviltray.zone._replica import StoreReplica
+from anviltray.zone.tests.virtual_zone import VirtualZone
+
+FIRST_OFFSET = 40
+DRAIN_S = 2.0  # Time after which an instance that was removed must get no more requests.
+
+
+def written(sequence, state="ready", born=1000, warmup_ms=0):
+    return registration(
+        born=born,
+        status__state=state,
+        status__sequence=sequence,
+        status__warmupLeftMs=warmup_ms,
+    )
+
+
+def removed():
+    return b""
+
+
+def create_replica(records):
+    replica = StoreReplica(InstanceDirectory(), Counter(), lambda: None)
+    replica.replace_all(records, StorePosition(0, FIRST_OFFSET))
+    return replica
+
+
+def contents(replica):
+    """Returns what a host uses: what differs in each renewal does not count."""
+    return {
+        key: (each.started_unix_ms, each.draining)
+        for key, each in replica._directory.instances.items()
+    }
+
+
+@pytest.mark.parametrize(
+    ("before", "log", "sent"),
+    [
+        # An instance that comes and leaves.
+        ({}, [written(1), removed()], 1),
+        ({}, [written(1), written(2), removed()], 1),
+        # An entry that lapses and returns as it was.
+        ({"i-1": written(1)}, [removed(), written(2)], 1),
+        ({"i-1": written(1)}, [written(2), removed(), written(3), written(4)], 1),
+        # An entry that another writer breaks for a moment.
+        ({"i-1": written(1)}, [b"\xff", written(2)], 1),
+        # A start under the same id that does not last.
+        ({"i-1": written(1)}, [written(1, born=2000), removed()], 1),
+        # An instance that changes and stays so.
+        ({"i-1": written(1)}, [written(2, state="draining")], 1),
+        ({"i-1": written(1)}, [removed()], 1),
+        ({}, [written(1)], 1),
+        # Renewals change nothing for anyone.
+        ({"i-1": written(1, warmup_ms=900)}, [written(2, warmup_ms=300), written(3)], 0),
+    ],
+)
+def test_changes_are_complete_for_receivers_at_every_position(before, log, sent):
+    """What was no change for the sender was left out, though receivers were within the log."""
+
+    async def main():
+        records = [KeyedRecord("i-1", payload or None) for payload in log]
+        end = StorePosition(0, FIRST_OFFSET + len(records))
+        sender = create_replica(before)
+        message = sender.find_changes(records)
+        sender.apply_changes(message, end)
+        assert len(message) == sent
+        for count in range(len(records)):
+            receiver = create_replica(before)
+            for number, record in enumerate(records[:count], 1):
+                change = KeyedChange(record.key, record.payload or b"")
+                position = StorePosition(0, FIRST_OFFSET + number)
+                receiver.apply_changes([change], position)
+            receiver.apply_changes(message, end)
+            assert contents(receiver) == contents(sender), count
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("frozen_s", [1.0, 5.0])
+def test_zone_hears_of_a_removal_from_a_host_that_slept_meanwhile(frozen_s):
+    """The removal was no change for the host that slept, and all others skipped it for good."""
+
+    async def main():
+        zone = VirtualZone(6)
+        zone.start_instance("i-1")
+        await asyncio.sleep(3.0)
+        *others, sleeper = zone.hosts.values()
+        sleeper.linked = sleeper.store.reachable = False
+        await asyncio.sleep(frozen_s / 2)
+        zone.start_instance("i-2", "10.0.0.2:80")
+        await asyncio.sleep(frozen_s / 2 + 0.8)
+        assert all(host.usable() == ["i-1", "i-2"] for host in others)
+        sleeper.linked = sleeper.store.reachable = True
+        for host in others:  # It has to know them again before it reads.
+            host.exchange.send(sleeper.address, host.beacon(False))
+        await asyncio.sleep(0.01)
+        zone.instances["i-2"].leave(removed=True)
+        await sleeper.follower.reader.read_instances()
+        await asyncio.sleep(DRAIN_S)
+        assert [host.usable() for host in zone.hosts.values()] == [["i-1"]] * 6
+        await zone.close()
+
+    run_with_virtual_clock(main())
