Notice callers that leave while reading from their connection is paused

The end of the connection is behind input that nobody reads, and the next request was started before it could be read.

Change: one epoll instance reports the end of all paused connections apart from input (EPOLLRDHUP); the connection is then closed as if the end had been read. Connections that are never paused are not watched. Pausing has one place in the protocol, which the program for nodes shares.

--- a/anviltray/callers/_protocol.py
+++ b/anviltray/callers/_protocol.py
@@ -13,6 +13,7 @@
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
 from anviltray.callers._exchange import CallerDisconnected, CallerExchange
+from anviltray.callers._hangups import HangupWatch
 from anviltray.callers._pressure import CallerPressure
 from anviltray.callers._problems import InputError, Problem, problem_body, problem_headers
 from anviltray.decisions.limits import CallerMemory, ConnectionLoad
@@ -96,6 +97,7 @@
     # Set in the subclass that `protocol_class` creates.
     caller_settings: CallerSettings
     pressure: CallerPressure
+    hangups: HangupWatch
     keeps_served: bool  # Whether connections are kept for further requests of their callers.
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
@@ -123,6 +125,7 @@
         self._rejection: Problem | None = None
         self._input_stopped = False  # Whether further input is dropped.
         self._shutting_down = False
+        self._closed_by_caller = False  # Whether the caller has closed; input may still be unread.
 
     # Connection
 
@@ -172,6 +175,9 @@
             return
         self.released = True
         self.pressure.discard(self)
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            self.hangups.discard(sock)
         exchange = self._current
         continuing = 0 if exchange is None else exchange.detach()
         self.pressure.memory.used_bytes -= self._held_bytes - continuing
@@ -362,8 +368,8 @@
         if (previous is None or previous.response_complete) and not self._next_deferred:
             self._start_asgi_task(exchange, self.app)
         else:
-            self.flow.pause_reading()
             self.pipeline.appendleft((exchange, self.app))
+            self._pause_reading()
 
     def _head_rejection(
         self, http_version: str, raw_path: bytes, upgrade: bool, head_size: int
@@ -406,9 +412,28 @@
             return
         exchange.body += body
         exchange.hold(len(body))
-        if len(exchange.body) > HIGH_WATER_LIMIT:
-            self.flow.pause_reading()
         exchange.message_event.set()
+        if len(exchange.body) > HIGH_WATER_LIMIT:
+            self._pause_reading()
+
+    def _pause_reading(self) -> None:
+        """Pauses reading, and has the end of the connection reported apart from its input."""
+        self.flow.pause_reading()
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            self.hangups.add(sock, self._on_hangup)
+        if self._closed_by_caller:
+            self._on_hangup()
+
+    def _on_hangup(self) -> None:
+        """Closes the connection that the caller has closed, as the transport does after input.
+
+        While input is read, the transport finds the end itself, after what came before it.
+        """
+        self._closed_by_caller = True
+        if self.flow.read_paused and not self.transport.is_closing():
+            self.pressure.memory.counters["hangups"] += 1
+            self.transport.close()
 
     def on_message_complete(self) -> None:
         exchange = self._last_received
@@ -563,6 +588,7 @@
     attributes = {
         "caller_settings": settings,
         "pressure": pressure,
+        "hangups": HangupWatch(),
         "keeps_served": keeps_served,
     }
     return type("BoundCallerProtocol", (CallerProtocol,), attributes)
--- a/anviltray/callers/_server.py
+++ b/anviltray/callers/_server.py
@@ -109,10 +109,11 @@
     at once, idle connections after a short grace period and the others after their last response.
     With a `protocol` from `protocol_class`, the limits can be changed while serving.
     """
+    protocol = protocol or protocol_class(settings)
     config = uvicorn.Config(
         application,
         loop="asyncio",
-        http=protocol or protocol_class(settings),
+        http=protocol,
         ws="none",
         lifespan="off",
         log_config=None,
@@ -141,6 +142,7 @@
         if not serving.done():
             serving.cancel()
         await asyncio.gather(checks, stopping, serving, return_exceptions=True)
+        protocol.hangups.close()
 
 
 def internal_settings(connection_limit: int = 256) -> CallerSettings:
@@ -166,10 +168,11 @@
     Anyone may connect to these addresses, so they share the memory of `pressure` with callers, but
     not their number of connections: the platform still gets a response while callers hold theirs.
     """
+    protocol = protocol_class(internal_settings(connection_limit), pressure, keeps_served=False)
     config = uvicorn.Config(
         application,
         loop="asyncio",
-        http=protocol_class(internal_settings(connection_limit), pressure, keeps_served=False),
+        http=protocol,
         ws="none",
         lifespan="off",
         log_config=None,
@@ -188,6 +191,7 @@
     finally:
         checks.cancel()
         await asyncio.gather(checks, return_exceptions=True)
+        protocol.hangups.close()
 
 
 async def _check_timeouts(
