Bring a list that was read in pages to one position of the log

Change: after a read in pages, the log is read up to its end before the registrations count.

Measured: test_removal_between_the_pages_of_a_reload_reaches_the_zone fails before the change and passes with it.

--- a/anviltray/platform/_interface.py
+++ b/anviltray/platform/_interface.py
@@ -67,6 +67,8 @@
     records: tuple[KeyedRecord, ...]  # In the order of the store.
     end_offset: int  # Offset from which later changes can be read.
     generation: int | None  # Generation of the store that all of it belongs to; None if not stated.
+    # False if it was read in pages: some records may be newer than the end offset.
+    is_snapshot: bool = True
 
 
 class RecordBatch(NamedTuple):
--- a/anviltray/platform/_store.py
+++ b/anviltray/platform/_store.py
@@ -74,7 +74,7 @@
                 raise PlatformUnavailable(f"newest {topic}: {error!r}") from error
             records.extend(items)
             if not more or not items:
-                return NewestRecords(tuple(records), end, generation)
+                return NewestRecords(tuple(records), end, generation, is_snapshot=not after)
             after = items[-1].key
         raise PlatformUnavailable(f"newest {topic}: more than {BODY_LIMIT_BYTES} bytes")
 
--- a/anviltray/zone/_store_reader.py
+++ b/anviltray/zone/_store_reader.py
@@ -106,13 +106,36 @@
         """Reads all registrations; raises PlatformError."""
         newest = await self.call(self.store.read_newest(names.INSTANCE_TOPIC))
         position = StorePosition(self._replica.generation, newest.end_offset)
+        records = {record.key: record.payload or b"" for record in newest.records}
+        if not newest.is_snapshot:
+            position = await self._read_to_end(records, position)
         if position < self._replica.position:
             raise StaleResponse(f"stale: {position} is before {self._replica.position}")
-        records = {record.key: record.payload or b"" for record in newest.records}
         self._replica.replace_all(records, position)
         self._replica.record_read()
         self._exchange.send_beacon()
 
+    async def _read_to_end(
+        self, records: dict[str, bytes], position: StorePosition
+    ) -> StorePosition:
+        """Brings `records`, some of which are newer than `position`, to the position returned.
+
+        Otherwise a later read would repeat a change that this host has already, and it would not
+        send it to the hosts that have not. Raises PlatformError.
+        """
+        while True:
+            batch = await self.call(self.store.read(names.INSTANCE_TOPIC, position.offset, 0.0))
+            if self._replica.generation != position.generation:
+                raise StaleResponse("stale: the store went back while it was read in pages")
+            for record in batch.records:
+                if record.payload:
+                    records[record.key] = record.payload
+                else:
+                    records.pop(record.key, None)
+            position = position._replace(offset=batch.next_offset)
+            if position.offset >= batch.end_offset or not batch.records:
+                return position
+
     async def read_configuration(self, wait_s: float) -> None:
         """Reads newer configurations, waiting up to `wait_s` for one; raises PlatformError."""
         requested = self._configuration_position
--- a/anviltray/zone/tests/test_complete_changes.py
+++ b/anviltray/zone/tests/test_complete_changes.py
@@ -113,3 +113,34 @@
         await zone.close()
 
     run_with_virtual_clock(main())
+
+
+def test_removal_between_the_pages_of_a_reload_reaches_the_zone():
+    """The host had it from the second page, before the end of the log that the first one named."""
+
+    async def main():
+        zone = VirtualZone(4)
+        zone.start_instance("i-1")
+        zone.start_instance("i-2", "10.0.0.2:80")
+        await asyncio.sleep(3.0)
+        *others, reader = zone.hosts.values()
+        read_newest = reader.store.read_newest
+
+        async def read_pages(name):
+            end_offset = (await read_newest(name)).end_offset
+            zone.instances["i-2"].leave(removed=True)
+            newest = await read_newest(name)
+            return newest._replace(end_offset=end_offset, is_snapshot=False)
+
+        reader.store.read_newest = read_pages
+        await others[0].follower.reader.read_instances()  # All hosts are at the end of the log.
+        await asyncio.sleep(0.01)
+        await reader.follower.reader.reload_instances()
+        reader.store.read_newest = read_newest
+        assert reader.usable() == ["i-1"]
+        await reader.follower.reader.read_instances()
+        await asyncio.sleep(DRAIN_S)
+        assert [host.usable() for host in others] == [["i-1"]] * 3
+        await zone.close()
+
+    run_with_virtual_clock(main())
