--- a/anviltray/edge/tests/test_stop.py
+++ b/anviltray/edge/tests/test_stop.py
@@ -129,6 +129,29 @@
     asyncio.run(asyncio.wait_for(main(), 20))
 
 
+@pytest.mark.parametrize(("deadline_ms", "status"), [(8000, 503), (1400, 200)])
+def test_request_that_still_waits_for_an_instance_is_rejected(tmp_path, deadline_ms, status):
+    """It was passed on whenever there was room, and broken off at the end."""
+
+    async def main():
+        async with ShortGraceFleet(tmp_path, [respond()]) as fleet:
+            dispatcher = fleet.hosts[0]._dispatcher
+            place = dispatcher._waits.place
+
+            async def place_late(call, choose):
+                await asyncio.sleep(1.2)
+                return await place(call, choose)
+
+            dispatcher._waits.place = place_late
+            stopping = asyncio.create_task(fleet.hosts[0].stop())
+            await asyncio.sleep(0.6)
+            response = await fleet.call("POST /order/1", b"x", Deadline_Ms=str(deadline_ms))
+            assert (response.status, fleet.received()) == (status, int(status == 200))
+            await stopping
+
+    asyncio.run(asyncio.wait_for(main(), 20))
+
+
 def test_no_second_attempt_begins_that_would_outlast_the_host(tmp_path):
     """It was begun right before the end, and both attempts were lost."""
 
