Read registrations that differ anew soon after a read that failed

A message of a peer during the read, or one failed call, put it off for 10 s. The two cases of test_registrations_are_read_anew_after_a_read_that_failed fail before the change.

--- a/anviltray/zone/_peers.py
+++ b/anviltray/zone/_peers.py
@@ -111,6 +111,8 @@
                 except PlatformError as error:
                     self._counters["failed_reads"] += 1
                     _log.warning("reading all registrations failed: {}", error)
+                    await asyncio.sleep(RETRY_BACKOFF_S[1] * (1 + self._rng.random()))
+                    continue
                 await asyncio.sleep(RELOAD_INTERVAL_S)
             self._differs.clear()
 
--- a/anviltray/zone/tests/test_complete_changes.py
+++ b/anviltray/zone/tests/test_complete_changes.py
@@ -8,10 +8,10 @@
 from anviltray.decisions.following import StorePosition
 from anviltray.decisions.instances import InstanceDirectory
 from anviltray.messages import KeyedChange
-from anviltray.platform import KeyedRecord
+from anviltray.platform import KeyedRecord, PlatformUnavailable
 from anviltray.platform.tests.documents import registration
 from anviltray.testing import run_with_virtual_clock
-from anviltray.zone._replica import StoreReplica
+from anviltray.zone._replica import StaleResponse, StoreReplica
 from anviltray.zone.tests.virtual_zone import VirtualZone
 
 FIRST_OFFSET = 40
@@ -186,6 +186,34 @@
     run_with_virtual_clock(main())
 
 
+@pytest.mark.parametrize("failure", [PlatformUnavailable, StaleResponse])
+def test_registrations_are_read_anew_after_a_read_that_failed(failure):
+    """A message of a peer that arrives during the read makes it out of date."""
+
+    async def main():
+        zone = VirtualZone(4)
+        zone.start_instance("i-1")
+        await asyncio.sleep(3.0)
+        wrong, *others = zone.hosts.values()
+        reader = wrong.follower.reader
+        reload_instances = reader.reload_instances
+
+        async def fail_once():
+            reader.reload_instances = reload_instances
+            raise failure("once")
+
+        reader.reload_instances = fail_once
+        for host in others:
+            host.store.reachable = False  # Only the wrong host can read anew.
+        invent(wrong)
+        await asyncio.sleep(5.0)
+        assert reader.reload_instances == reload_instances
+        assert wrong.usable() == ["i-1"]
+        await zone.close()
+
+    run_with_virtual_clock(main())
+
+
 def test_hosts_with_equal_registrations_are_not_found_to_differ():
     async def main():
         zone = VirtualZone(5)
