--- a/anviltray/edge/tests/support.py
+++ b/anviltray/edge/tests/support.py
@@ -181,6 +181,16 @@
             assert asyncio.get_running_loop().time() < deadline_s
             await asyncio.sleep(0.01)
 
+    async def until_logged(self, process, text, limit_s):
+        """Waits for a line of a host process; shows the end of its output if it does not come."""
+        try:
+            await self.until(lambda: text in process.output.read_bytes(), limit_s)
+        except AssertionError:
+            state = "runs" if process.running else "has ended"
+            raise AssertionError(
+                f"no {text} from a process that {state}: {process.tail()}"
+            ) from None
+
     async def call(self, head, body=b"", host=0, request_id="c1", **headers):
         headers.setdefault("Deadline_Ms", "3000")
         address = self.hosts[host].settings.caller_address
--- a/anviltray/edge/tests/test_memory.py
+++ b/anviltray/edge/tests/test_memory.py
@@ -93,7 +93,7 @@
             host.start()
             writers = []
             try:
-                await fleet.until(lambda: b"configuration 2" in host.output.read_bytes(), 30.0)
+                await fleet.until_logged(host, b"configuration 2", 30.0)
                 await asyncio.gather(
                     *(
                         send_without_reading(settings.caller_address, number, writers)
