Count the connect limit only while the event loop runs on time

Cause: asyncio runs a due timer in the same turn as the events before it. A host that handles a burst of several hundred callers is late by more than the connect limit of 0.4 s, and then cancels connections that the kernel has opened long before, tries another instance with the same result, and rejects requests that idle instances would have served.

Change: ResponsiveTimeLimit splits the limit into eight steps, and a step whose timer is late counts as one. It replaces the limits of aiohttp for opening connections, in both programs.

--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -9,7 +9,6 @@
     ClientRequest,
     ClientResponse,
     ClientSession,
-    ClientTimeout,
     DummyCookieJar,
     hdrs,
 )
@@ -225,12 +224,7 @@
         )
         # Otherwise aiohttp retries GET, HEAD, PUT and DELETE when a reused connection is closed.
         self._session._retry_connection = False
-        self._connect_timeout = ClientTimeout(
-            total=None,
-            connect=settings.connect_timeout_s,
-            sock_connect=settings.connect_timeout_s,
-            ceil_threshold=settings.connect_timeout_s + 1,
-        )
+        self._connect_timeout_s = settings.connect_timeout_s
         self._keys: dict[str, ConnectionKey | None] = {}  # None if no connection can be opened.
 
     def set_node_count(self, count: int, instance_connections: int | None = None) -> None:
@@ -338,7 +332,7 @@
             raise ConnectionsExhausted(f"{address}: all connections of this node are in use")
         observer.on_connection(True)
         try:
-            return await self._connector.open(message, key, self._connect_timeout)
+            return await self._connector.open(message, key, self._connect_timeout_s)
         except _TRANSPORT_ERRORS as error:
             raise ConnectFailed(f"{address}: {describe_error(error)}") from error
 
--- a/anviltray/upstreams/_connector.py
+++ b/anviltray/upstreams/_connector.py
@@ -19,6 +19,7 @@
 
 from anviltray.upstreams._dialect import Dialect
 from anviltray.upstreams._reuse import is_reusable
+from anviltray.upstreams._time_limit import ResponsiveTimeLimit
 
 # Limit for all response heads of one exchange, with the informational ones before the final head.
 _HEADS_LIMIT_BYTES = 131072
@@ -31,6 +32,7 @@
 _FRAMING_FACTOR = 8
 # asyncio reads up to 256 KiB at once, however small the buffer is.
 _READ_LIMIT_BYTES = 65536
+_NO_TIMEOUT = ClientTimeout(total=None)  # `ResponsiveTimeLimit` sets the limit.
 _HEAD_END = b"\r\n\r\n"
 _FIRST_FINAL_STATUS = 200
 _STATUS_LINE_START_BYTES = 13  # Bytes of a status line up to the character after the status.
@@ -367,13 +369,15 @@
         limit_s = min(idle_limit_s, _stated_limit_s(protocol))
         return protocol.is_connected() and monotonic() - idle_since <= limit_s
 
-    async def open(
-        self, request: ClientRequest, key: ConnectionKey, timeout: ClientTimeout
-    ) -> Connection:
-        """Opens a new connection; the caller must have checked `has_room`."""
+    async def open(self, request: ClientRequest, key: ConnectionKey, limit_s: float) -> Connection:
+        """Opens a new connection within `limit_s` seconds; the caller must have checked `has_room`.
+
+        Raises TimeoutError, and the errors of aiohttp for connections that cannot be opened.
+        """
         self._open_counts[key] = self._open_counts.get(key, 0) + 1
         try:
-            return await self.connect(request, [], timeout)
+            async with ResponsiveTimeLimit(limit_s):
+                return await self.connect(request, [], _NO_TIMEOUT)
         except BaseException:
             self._decrement_open_count(key)
             raise
