Let the tests of crowds begin when the host has loaded its registrations

Cause: test_memory and test_crowds began when the host had logged its configuration, and the registrations are read after it. Until then a host lets 200 requests wait for one second and rejects the others, so a crowd that comes early is refused.

--- a/anviltray/edge/tests/support.py
+++ b/anviltray/edge/tests/support.py
@@ -1,6 +1,7 @@
 """A fleet of edge hosts in one process, with the stand-in store and scripted instances."""
 
 import asyncio
+import contextlib
 import itertools
 import json
 import secrets
@@ -9,7 +10,7 @@
 
 from anviltray.callers.tests.support import Upstream, call, read_body
 from anviltray.edge import Edge
-from anviltray.platform import load_host_settings
+from anviltray.platform import load_host_settings, names
 from standins.store import StoreStandin
 
 SETTINGS = """
@@ -191,6 +192,17 @@
                 f"no {text} from a process that {state}: {process.tail()}"
             ) from None
 
+    async def until_ready(self, process, settings, limit_s):
+        """Waits until a host process accepts requests, which it does not do while it loads."""
+        deadline_s = asyncio.get_running_loop().time() + limit_s
+        while asyncio.get_running_loop().time() < deadline_s:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                ready = await call(settings.readiness_address, f"GET {names.READY_PATH}")
+                if ready.status == 200:
+                    return
+            await asyncio.sleep(0.01)
+        raise AssertionError(f"a process is not ready: {process.tail()}")
+
     async def call(self, head, body=b"", host=0, request_id="c1", **headers):
         headers.setdefault("Deadline_Ms", "3000")
         address = self.hosts[host].settings.caller_address
--- a/anviltray/edge/tests/test_crowds.py
+++ b/anviltray/edge/tests/test_crowds.py
@@ -186,6 +186,7 @@
             connections = []
             try:
                 await fleet.until_logged(host, b"configuration 2", 60.0)
+                await fleet.until_ready(host, settings, 60.0)
                 observed = Observed(host.process_id)
                 calm_mb = observed.memory_mb("VmHWM")
                 sampling = asyncio.create_task(observed.run())
--- a/anviltray/edge/tests/test_memory.py
+++ b/anviltray/edge/tests/test_memory.py
@@ -94,6 +94,7 @@
             writers = []
             try:
                 await fleet.until_logged(host, b"configuration 2", 30.0)
+                await fleet.until_ready(host, settings, 30.0)
                 await asyncio.gather(
                     *(
                         send_without_reading(settings.caller_address, number, writers)
