State the time that is left when a request is written

Cause: the header with the time left was made before the connection was opened. What opening took, with the delays of a busy host up to several tenths of a second, was stated in addition. The same holds for the program for nodes and for requests that it forwards.

Change: UpstreamRequest.remaining_s is asked when the request is written, after its connection has been opened.

Measured: test_stated_time fails in its three cases without the change (899 ms stated with 550 left) and passes with it.

--- a/anviltray/callers/_forward.py
+++ b/anviltray/callers/_forward.py
@@ -1,6 +1,7 @@
 """Forwards an unrepeatable request to the node that issued its identifier."""
 
 import asyncio
+from collections.abc import Callable
 
 from anviltray.callers._call import Call
 from anviltray.callers._context import CallerContext, Outcome
@@ -41,7 +42,7 @@
     timer = loop.call_at(call.deadline_s + RETURN_MARGIN_S, call.expire)
     response: UpstreamResponse | None = None
     try:
-        request = _request(context, call, call.deadline_s - loop.time())
+        request = _request(context, call, lambda: call.deadline_s - loop.time())
         response = await context.upstreams.send(address, request, _OBSERVER)
         await _copy(context, call, response)
     except UpstreamError:
@@ -58,18 +59,28 @@
             response.close()
 
 
-def _request(context: CallerContext, call: Call, remaining_s: float) -> UpstreamRequest:
+def _request(
+    context: CallerContext, call: Call, remaining_s: Callable[[], float]
+) -> UpstreamRequest:
     head, body = call.head, call.body
     source = body.source()
     headers = [
         *head.headers,
         (REQUEST_ID_HEADER.decode(), head.request_id or ""),
-        (DEADLINE_HEADER.decode(), str(max(1, int(remaining_s * 1000)))),
         (FORWARDED_HEADER.decode(), context.settings.node),
     ]
     if source is not None and not isinstance(source, bytes) and not body.chunked:
         headers.append(("Content-Length", str(body.length)))
-    return UpstreamRequest(head.method, head.target, headers, source, body.chunked, True)
+    return UpstreamRequest(
+        head.method,
+        head.target,
+        headers,
+        source,
+        body.chunked,
+        unrepeatable=True,
+        remaining_s=remaining_s,
+        deadline_header=DEADLINE_HEADER.decode(),
+    )
 
 
 async def _copy(context: CallerContext, call: Call, response: UpstreamResponse) -> None:
--- a/anviltray/callers/_runner.py
+++ b/anviltray/callers/_runner.py
@@ -105,8 +105,7 @@
             attempt.record(AttemptEvent.FAILED)
             return _TIMED_OUT
         head, body = call.head, call.body
-        extra = self._client.dialect.request_headers(remaining, call.request_id)
-        headers = head.headers + extra
+        headers = head.headers + self._client.dialect.identifier_headers(call.request_id)
         source = body.source()
         chunked = body.chunked
         if source is not None and not isinstance(source, bytes) and not chunked:
@@ -119,6 +118,7 @@
             chunked,
             unrepeatable=call.rule is None,
             request_id=call.request_id,
+            remaining_s=lambda: call.deadline_s - self._loop.time(),
         )
         timer = self._loop.call_at(
             now + _attempt_timeout_s(call, remaining, attempts_left), call.expire
--- a/anviltray/edge/_attempts.py
+++ b/anviltray/edge/_attempts.py
@@ -136,10 +136,7 @@
 
     def _request(self, call: EdgeCall, placed: Placed) -> UpstreamRequest:
         head, body = call.head, call.body
-        remaining_s = call.remaining_s()
-        headers = head.headers + self._state.upstreams.dialect.request_headers(
-            remaining_s, head.request_id
-        )
+        headers = head.headers + self._state.upstreams.dialect.identifier_headers(head.request_id)
         headers.append((self._instance_header, placed.instance.id))
         headers.extend(call.admitted.account_headers)
         source = body.source()
@@ -153,6 +150,7 @@
             body.chunked,
             unrepeatable=not call.route.idempotent,
             request_id=head.request_id,
+            remaining_s=call.remaining_s,
         )
 
     async def _read_response(
--- a/anviltray/upstreams/_client.py
+++ b/anviltray/upstreams/_client.py
@@ -61,6 +61,10 @@
     fresh: bool = False  # Requires a new connection.
     # Identifier that the response must not contradict, and that its connection has not carried.
     request_id: str | None = None
+    # Returns the time in seconds that the upstream has for the request; asked when it is written,
+    # since opening a connection takes time.
+    remaining_s: Callable[[], float] | None = None
+    deadline_header: str = ""  # Header for that time; empty for the one of the settings.
 
 
 class ExchangeObserver(Protocol):
@@ -292,6 +296,10 @@
         # A streamed body always has segments in flight, so these are not evidence of a fault.
         buffered = request.body is None or isinstance(request.body, bytes)
         transport = protocol.transport if buffered else None
+        if request.remaining_s is not None:
+            name = request.deadline_header or self.dialect.deadline_header
+            # A deadline of 0 means expired, so a started attempt has at least 1 ms.
+            message.headers[name] = str(max(1, int(request.remaining_s() * 1000)))
         use = self._connector.start_exchange(connection, request.request_id, observer.on_skipped)
         observer.on_write_start(use, lambda: is_acknowledged(transport))
         response: ClientResponse | None = None
--- a/anviltray/upstreams/_dialect.py
+++ b/anviltray/upstreams/_dialect.py
@@ -49,13 +49,9 @@
         # Signals are meant for the node and are not forwarded to the caller.
         self.signal_headers = frozenset({self._shed, self._drain, self._load, self._cold})
 
-    def request_headers(self, remaining_s: float, request_id: str | None) -> list[tuple[str, str]]:
-        """Returns the headers with the remaining time and the identifier."""
-        # A deadline of 0 means expired, so a started attempt has at least 1 ms.
-        headers = [(self.deadline_header, str(max(1, int(remaining_s * 1000))))]
-        if request_id is not None:
-            headers.append((self.request_id_header, request_id))
-        return headers
+    def identifier_headers(self, request_id: str | None) -> list[tuple[str, str]]:
+        """Returns the header with the identifier of a request; empty if it has none."""
+        return [] if request_id is None else [(self.request_id_header, request_id)]
 
     def signals(self, status: int, fields: Iterable[tuple[bytes, bytes]]) -> Signals:
         """Parses the signals of a response from its headers that are in `signal_headers`.
