Send the renewals of copied registrations to all hosts of a zone once

After the store went back, an instance that had lapsed before and lives got no requests from hosts that had seen it lapse, for up to 6.6 s after it had renewed its entry. Cause: these hosts hold its copied record back until a renewal arrives. The host that reads the store sent renewals only of what it held back itself, and one that had been cut off meanwhile holds nothing back. Change: after a load of a later generation every copied record awaits its first renewal, on all hosts, for as long as any may hold it back. The first host that loads anything is left out: it has no older state to compare.

--- a/anviltray/decisions/instances/_directory.py
+++ b/anviltray/decisions/instances/_directory.py
@@ -46,7 +46,8 @@
 
     Records of a store that has gone back may be older than what this host has seen. A copied record
     of an instance that has left is held back until the instance renews it, or until the store would
-    have removed it.
+    have removed it. Other hosts may hold back what this one does not, so it tells for which copied
+    records a renewal means something to anyone.
     """
 
     def __init__(self) -> None:
@@ -56,6 +57,8 @@
         self._warming_until: dict[str, float] = {}  # End of the warm-up after the start.
         self._departed: dict[str, Departure] = {}  # Of instances that are not registered.
         self._held: dict[str, tuple[Instance, float]] = {}  # Copied records, and until when.
+        # Copied records without a renewal, held back or not, and until when hosts may hold them.
+        self._unrenewed: dict[str, float] = {}
         # Kept independently of the registration, which may lapse and return.
         self._backoffs: dict[str, _Backoff] = {}
         self._by_service: dict[str, tuple[Instance, ...]] = {}
@@ -90,6 +93,7 @@
         current = self._instances.get(key)
         departure = self._departed.get(key)
         self._held.pop(key, None)
+        self._unrenewed.pop(key, None)
         if (
             current is None
             and departure is not None
@@ -131,9 +135,13 @@
                 held.append(instance.id)
         return frozenset(held)
 
-    def is_held_back(self, key: str) -> bool:
-        """Returns whether the copied record of an instance is held back."""
-        return key in self._held
+    def expect_renewals(self, now_s: float, keys: Iterable[str]) -> None:
+        """Records which records are copies, after a store that went back has been loaded."""
+        self._unrenewed = dict.fromkeys(keys, now_s + COPIED_HOLD_S)
+
+    def awaits_renewal(self, key: str) -> bool:
+        """Returns whether hosts may hold back the record of an instance until its renewal."""
+        return key in self._held or key in self._unrenewed
 
     def departures(self, now_s: float) -> dict[str, Departure]:
         """Returns what a host needs to know that loads from a store which has gone back, by id."""
@@ -163,6 +171,7 @@
         """Removes a registration, or keeps it for renewal if the store has or had an outage."""
         instance = self._instances.get(key)
         self._held.pop(key, None)
+        self._unrenewed.pop(key, None)
         if instance is None:
             return
         if instance.draining or not self._can_be_renewed(now_s):
@@ -262,6 +271,8 @@
         for instance, until_s in tuple(self._held.values()):
             if until_s <= decided_s:
                 self.register(now_s, instance)
+        for key in [key for key, until_s in self._unrenewed.items() if until_s <= decided_s]:
+            del self._unrenewed[key]
         for key in [key for key, each in self._departed.items() if each.left_s < oldest_s]:
             del self._departed[key]
         for key in [key for key, backoff in self._backoffs.items() if backoff.until_s <= now_s]:
@@ -272,6 +283,8 @@
         """Restarts the time that the store needs to remove instances that are silent."""
         for key, (instance, until_s) in self._held.items():
             self._held[key] = (instance, max(until_s, now_s + COPIED_HOLD_S))
+        for key, until_s in self._unrenewed.items():
+            self._unrenewed[key] = max(until_s, now_s + COPIED_HOLD_S)
 
     def _can_be_renewed(self, now_s: float) -> bool:
         return self._outage or now_s < self._recovered_s + RENEWAL_GRACE_S
--- a/anviltray/zone/_replica.py
+++ b/anviltray/zone/_replica.py
@@ -225,7 +225,7 @@
             previous = newest.get(key, self._registrations.get(key, b""))
             # The renewal of a copied record shows that the instance lives.
             if key not in changed and (
-                self._directory.is_held_back(key) or _is_changed(previous, key, payload)
+                self._directory.awaits_renewal(key) or _is_changed(previous, key, payload)
             ):
                 changed.add(key)
             newest[key] = payload
@@ -237,6 +237,7 @@
         The list of a later generation than before may contain copied records that are older.
         """
         copied = position.generation > self.position.generation
+        is_first = self.position == UNKNOWN_POSITION
         removed = [KeyedChange(key, b"") for key in self._registrations if key not in records]
         changes = [
             KeyedChange(key, payload)
@@ -244,6 +245,8 @@
             if payload != self._registrations.get(key, b"")
         ]
         self.apply_changes([*removed, *changes], position, copied=copied)
+        if copied and not is_first:
+            self._directory.expect_renewals(self._loop.time(), records)
 
     def apply_changes(
         self, changes: Iterable[KeyedChange], position: StorePosition, *, copied: bool = False
--- a/anviltray/zone/tests/test_complete_changes.py
+++ b/anviltray/zone/tests/test_complete_changes.py
@@ -7,6 +7,7 @@
 
 from anviltray.decisions.following import StorePosition
 from anviltray.decisions.instances import InstanceDirectory
+from anviltray.decisions.instances._directory import COPIED_HOLD_S
 from anviltray.messages import KeyedChange
 from anviltray.platform import KeyedRecord, PlatformUnavailable
 from anviltray.platform.tests.documents import registration
@@ -16,6 +17,7 @@
 
 FIRST_OFFSET = 40
 DRAIN_S = 2.0  # Time after which an instance that was removed must get no more requests.
+RETURN_S = 2.0  # Time after which an instance that lapsed and lives must be in use again.
 
 
 def written(sequence, state="ready", born=1000, warmup_ms=0):
@@ -147,6 +149,57 @@
     run_with_virtual_clock(main())
 
 
+@pytest.mark.parametrize("linked_after_s", [0.6, 1.0, 1.5, 2.0, 3.0])
+def test_renewal_of_a_copied_record_reaches_hosts_that_hold_it_back(linked_after_s):
+    """It was no change for the host that read it and had not seen the instance lapse."""
+
+    async def main():
+        zone = VirtualZone(4)
+        zone.start_instance("i-1")
+        zone.start_instance("i-2", "10.0.0.2:80")
+        await asyncio.sleep(3.0)
+        copy = zone.store.copy_topics()
+        reader = min(zone.hosts.values(), key=lambda host: host.follower.reader.read_rank())
+        reader.linked = reader.store.reachable = False
+        await asyncio.sleep(0.5)
+        instance = zone.instances["i-2"]
+        instance.task.cancel()
+        zone.write_registration("i-2", b"")
+        await asyncio.sleep(1.0)
+        others = [host for host in zone.hosts.values() if host is not reader]
+        assert all(host.usable() == ["i-1"] for host in others)
+        reader.store.reachable = True
+        await zone.go_back(copy)
+        await asyncio.sleep(linked_after_s)
+        reader.linked = True
+        await asyncio.sleep(0.2)
+        instance.task = asyncio.ensure_future(instance.run())
+        await asyncio.sleep(RETURN_S)
+        assert [host.usable() for host in zone.hosts.values()] == [["i-1", "i-2"]] * 4
+        await zone.close()
+
+    run_with_virtual_clock(main())
+
+
+def test_renewals_of_copied_records_are_sent_once():
+    async def main():
+        replica = create_replica({"i-1": written(1), "i-2": written(1), "i-3": written(1)})
+        replica.replace_all(
+            {"i-1": written(1), "i-2": written(1), "i-3": written(1)},
+            StorePosition(1, FIRST_OFFSET),
+        )
+        for sequence, sent in [(2, ["i-1", "i-2"]), (3, [])]:
+            records = [KeyedRecord(key, written(sequence)) for key in ("i-1", "i-2")]
+            message = replica.find_changes(records)
+            assert [change.key for change in message] == sent
+            replica.apply_changes(message, StorePosition(1, FIRST_OFFSET + sequence))
+        await asyncio.sleep(COPIED_HOLD_S)
+        replica._directory.expire(asyncio.get_running_loop().time())
+        assert replica.find_changes([KeyedRecord("i-3", written(2))]) == []
+
+    run_with_virtual_clock(main())
+
+
 def lose(host):
     replica = host.follower.replica
     replica.apply_changes([KeyedChange("i-1", removed())], replica.position)
